Serve a request from caller to endpoint and back

Cause: the project was empty. Change: a workspace of five packages. Entries take completion, chat and service requests over HTTP, agents run them at their endpoints, messages between them are typed and authenticated, settings are watched from the platform.

--- /dev/null
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m ebonyglade_agent`."""
+
+from ebonyglade_agent.commands import main
+
+main()
--- /dev/null
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/commands.py
@@ -0,0 +1,17 @@
+"""Command line of the agent daemon."""
+
+from ebonyglade_agent.service import Agent
+from ebonyglade_agent.settings import AgentSettings
+from ebonyglade_node.commands import NodeCommands, run_program
+
+
+class Commands(NodeCommands):
+    """ebonyglade-agent runs requests at the endpoint beside it."""
+
+    _settings_model = AgentSettings
+    _service = Agent
+
+
+def main() -> None:
+    """Run the command line."""
+    run_program("ebonyglade-agent", Commands)
--- /dev/null
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -0,0 +1,161 @@
+"""HTTP clients for the endpoint beside the agent."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+
+from ebonyglade.ports import (
+    DecodeJob,
+    EngineError,
+    PrefillJob,
+    PrefillResult,
+    ServiceReply,
+    Token,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 2.0
+TOKEN_TIMEOUT_S = 5.0
+NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a session without limits on connections or total time.
+
+    Answers are passed on as they are, so nothing is decompressed, and no
+    request is repeated by the library.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+@dataclass(slots=True)
+class HttpEngine:
+    """A model engine reached over HTTP."""
+
+    url: str
+    session: aiohttp.ClientSession
+
+    async def prefill(self, job: PrefillJob) -> PrefillResult:
+        """Compute a prompt's KV cache."""
+        document = {
+            "job": job.job,
+            "model": job.model,
+            "prompt": job.prompt,
+            "priority": job.priority,
+        }
+        answer = await self._post("/v1/prefill", document)
+        return PrefillResult(
+            answer["source"], answer["handle"], answer["tokens"], answer["cached"]
+        )
+
+    async def decode(self, job: DecodeJob) -> AsyncIterator[Token]:
+        """Generate tokens, one JSON object a line."""
+        document = {
+            "job": job.job,
+            "model": job.model,
+            "prompt": job.prompt,
+            "source": job.source,
+            "handle": job.handle,
+            "max_tokens": job.max_tokens,
+            "resume": list(job.resume),
+            "priority": job.priority,
+        }
+        whole = False
+        try:
+            async with self.session.post(
+                self.url + "/v1/decode", json=document
+            ) as answer:
+                await _check(answer)
+                async for line in _lines(answer):
+                    row = json.loads(line)
+                    if row.get("done"):
+                        whole = True
+                        break
+                    yield Token(row["index"], row["text"])
+        except aiohttp.ClientError as error:
+            raise _as_engine_error(error) from error
+        if not whole:
+            raise EngineError("The engine ended in mid-answer.", lost=True)
+
+    async def cancel(self, job: str) -> None:
+        """Stop a job; an engine that does not answer is left to its leases."""
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                await self._post("/v1/cancel", {"job": job})
+        except (TimeoutError, EngineError):
+            return
+
+    async def held(self) -> list[str]:
+        """Return the ids of the jobs that hold memory."""
+        try:
+            async with self.session.get(self.url + "/v1/held") as answer:
+                await _check(answer)
+                return (await answer.json())["jobs"]
+        except aiohttp.ClientError as error:
+            raise _as_engine_error(error) from error
+
+    async def _post(self, path: str, document: dict) -> dict:
+        try:
+            async with self.session.post(self.url + path, json=document) as answer:
+                await _check(answer)
+                return await answer.json()
+        except aiohttp.ClientError as error:
+            raise _as_engine_error(error) from error
+
+
+@dataclass(slots=True)
+class HttpService:
+    """A plain service reached over HTTP."""
+
+    url: str
+    session: aiohttp.ClientSession
+
+    async def call(
+        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+    ) -> ServiceReply:
+        """Make one call; redirects go back to the caller."""
+        try:
+            async with self.session.request(
+                method,
+                self.url + path,
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+            ) as answer:
+                content = await answer.read()
+                received = [
+                    (str(name), value) for name, value in answer.headers.items()
+                ]
+                return ServiceReply(answer.status, received, content)
+        except aiohttp.ClientError as error:
+            raise _as_engine_error(error) from error
+
+
+async def _check(answer: aiohttp.ClientResponse) -> None:
+    if answer.status == 200:
+        return
+    text = (await answer.text())[:200]
+    # An engine that is full has not started the job.
+    raise EngineError(f"status {answer.status}: {text}", ran=answer.status != 429)
+
+
+async def _lines(answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    while True:
+        async with asyncio.timeout(TOKEN_TIMEOUT_S):
+            line = await answer.content.readline()
+        if not line:
+            return
+        yield line
+
+
+def _as_engine_error(error: aiohttp.ClientError) -> EngineError:
+    sent = not isinstance(error, NOT_SENT)
+    return EngineError(f"{type(error).__name__}: {error}", ran=sent, lost=True)
--- /dev/null
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/settings.py
@@ -0,0 +1,37 @@
+"""Settings of an agent process."""
+
+from typing import Literal
+
+from pydantic import Field
+
+from ebonyglade_node.settings import NodeSettings, Section
+
+
+class EndpointSection(Section):
+    """The endpoint beside this agent.
+
+    Attributes:
+        kind: "engine" for a model engine, "service" for a plain service.
+        url: base address of its HTTP interface.
+        slots: most jobs at once.
+        pieces: KV pieces that the engine holds.
+        prefill_slots: most prefills at once.
+        lease_s: seconds for which an entry holds a slot without renewal.
+        drain_s: seconds that a stop waits for jobs under way.
+        leave_s: seconds that a stop waits for entries to notice.
+    """
+
+    kind: Literal["engine", "service"]
+    url: str
+    slots: int = Field(default=20, gt=0)
+    pieces: int = Field(default=400, gt=0)
+    prefill_slots: int = Field(default=1, gt=0)
+    lease_s: float = Field(default=3.0, gt=0)
+    drain_s: float = Field(default=120.0, gt=0)
+    leave_s: float = Field(default=2.0, ge=0)
+
+
+class AgentSettings(NodeSettings):
+    """All sections of an agent's settings file."""
+
+    endpoint: EndpointSection
--- /dev/null
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on the entry instances: serves callers over HTTP."""
--- /dev/null
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m ebonyglade_entry`."""
+
+from ebonyglade_entry.commands import main
+
+main()
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, the demo, loads and experiments."""
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
@@ -0,0 +1,114 @@
+"""Stand-in for the platform's configuration service."""
+
+import asyncio
+import base64
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from ebonyglade_lab.standins.server import StandIn
+
+DEFAULT_WAIT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Row:
+    value: str
+    revision: int
+
+
+class Platform(StandIn):
+    """A key-value tree that can only be read and watched over HTTP.
+
+    Attributes:
+        silent: whether it answers nobody.
+        calls: answered and waiting calls so far.
+    """
+
+    def __init__(self, port: int = 0, prefix: str = "ebonyglade") -> None:
+        super().__init__(port)
+        self._prefix = prefix
+        self._rows: dict[str, _Row] = {}
+        self._revision = 1
+        self._changed = asyncio.Event()
+        self._frozen: tuple[int, dict[str, _Row]] | None = None
+        self.silent = False
+        self.calls = 0
+        self.app.router.add_get("/v1/kv/{path:.*}", self._get)
+
+    @property
+    def revision(self) -> int:
+        """Revision of the newest change."""
+        return self._revision
+
+    def put(self, path: str, value: str) -> int:
+        """Publish a document and return its revision."""
+        self._revision += 1
+        self._rows[path] = _Row(value, self._revision)
+        self._wake()
+        return self._revision
+
+    def delete(self, path: str) -> int:
+        """Remove a document and return the revision of the removal."""
+        self._revision += 1
+        self._rows.pop(path, None)
+        self._wake()
+        return self._revision
+
+    def freeze(self) -> None:
+        """Answer with the present copy from now on, however stale."""
+        self._frozen = (self._revision, dict(self._rows))
+
+    def thaw(self) -> None:
+        """Answer with the newest copy again."""
+        self._frozen = None
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _copy(self) -> tuple[int, dict[str, _Row]]:
+        return self._frozen or (self._revision, self._rows)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.silent:
+            await asyncio.sleep(DEFAULT_WAIT_S)
+            raise web.HTTPServiceUnavailable
+        await self._wait(
+            int(request.query.get("index", "0")), _seconds(request.query.get("wait"))
+        )
+        revision, rows = self._copy()
+        documents = [self._document(path, row) for path, row in sorted(rows.items())]
+        return web.json_response(
+            documents,
+            status=200 if documents else 404,
+            headers={"X-Consul-Index": str(revision)},
+        )
+
+    async def _wait(self, index: int, longest: float) -> None:
+        try:
+            async with asyncio.timeout(longest):
+                while index == self._copy()[0]:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _document(self, path: str, row: _Row) -> dict:
+        return {
+            "Key": f"{self._prefix}/{path}",
+            "Value": base64.b64encode(row.value.encode()).decode(),
+            "ModifyIndex": row.revision,
+            "CreateIndex": row.revision,
+            "LockIndex": 0,
+            "Flags": 0,
+        }
+
+
+def _seconds(text: str | None) -> float:
+    if not text:
+        return DEFAULT_WAIT_S
+    if text.endswith("ms"):
+        return float(text[:-2]) / 1000
+    return float(text.rstrip("s"))
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/__init__.py
@@ -0,0 +1,1 @@
+"""What both daemons share: settings, links, logs, metrics and platform watch."""
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/link.py
@@ -0,0 +1,252 @@
+"""Messages between instances over pyzmq.
+
+Each instance takes messages at one ROUTER socket and sends to each peer
+through a DEALER socket of its own. Both ends are authenticated by CURVE with
+the fleet's key pair; frames that can't be decoded are counted and dropped.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import zmq
+import zmq.asyncio
+from mode import Service
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from ebonyglade.members.health import Change, HealthTable
+from ebonyglade.ports import Sender
+from ebonyglade.wire.codec import MAX_FRAME_BYTES, decode, encode
+from ebonyglade.wire.messages import Message, Ping, Pong
+from ebonyglade_node.metrics import Metrics
+from ebonyglade_node.settings import FleetSection, InstanceSection
+
+logger = logging.getLogger(__name__)
+
+SEND_QUEUE_FRAMES = 20_000
+RECEIVE_QUEUE_FRAMES = 20_000
+LINGER_MS = 500
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 1000
+BATCH_FRAMES = 200  # frames handled before other tasks run
+
+Handler = Callable[[Sender, Message], None]
+
+
+@dataclass(slots=True)
+class _Peer:
+    """The sending side towards one instance."""
+
+    address: str
+    socket: zmq.Socket
+
+
+class Link(Service):
+    """Sends and takes messages; watches the health of the peers it talks to."""
+
+    def __init__(
+        self,
+        instance: InstanceSection,
+        fleet: FleetSection,
+        incarnation: str,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self._me = instance
+        self._fleet = fleet
+        self._incarnation = incarnation
+        self._metrics = metrics
+        self._clock = clock
+        self._handlers: dict[type[Message], Handler] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._addresses: dict[str, str] = {}
+        self._health = HealthTable()
+        self._revision: Callable[[], int] = lambda: 0
+        self._context = zmq.asyncio.Context()
+        self._plain = zmq.Context.shadow(self._context)
+        self._router: zmq.asyncio.Socket | None = None
+        self._auth: AsyncioAuthenticator | None = None
+        self._seq = 0
+        self.on_change: list[Callable[[str, Change, str], None]] = []
+        self.on_revision: list[Callable[[str, int], None]] = []
+        self.handle({Ping: self._on_ping, Pong: self._on_pong})
+
+    @property
+    def health(self) -> HealthTable:
+        """Health of the peers that this instance talks to."""
+        return self._health
+
+    def handle(self, handlers: dict[type[Message], Handler]) -> None:
+        """Add handlers by message type."""
+        self._handlers.update(handlers)
+
+    def tell_revision(self, revision: Callable[[], int]) -> None:
+        """Put the revision that `revision` returns into each heartbeat."""
+        self._revision = revision
+
+    def learn(self, instance: str, address: str) -> None:
+        """Remember where an instance takes messages."""
+        if address and self._addresses.get(instance) != address:
+            self._addresses[instance] = address
+            self._drop(instance)
+
+    def known(self) -> list[str]:
+        """Return the ids of all instances with a known address."""
+        return list(self._addresses)
+
+    def send(self, instance: str, message: Message) -> bool:
+        """Queue a message; False if the peer is unknown or its queue is full."""
+        if instance == self._me.id:
+            asyncio.get_running_loop().call_soon(self._loop_back, message)
+            return True
+        peer = self._peer(instance)
+        if peer is None:
+            return False
+        frame = encode(self._me.id, self._incarnation, self._me.address, message)
+        try:
+            peer.socket.send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            self._metrics.count("link_queue_full")
+            return False
+        self._metrics.count("link_sent_frames")
+        self._metrics.count("link_sent_bytes", len(frame))
+        return True
+
+    async def on_start(self) -> None:
+        """Bind the receiving socket."""
+        self._auth = AsyncioAuthenticator(self._context)
+        self._auth.start()
+        accepted = {self._fleet.public_key, *self._fleet.accept}
+        self._auth.configure_curve_callback("*", credentials_provider=_Keys(accepted))
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.curve_server = True
+        self._router.curve_secretkey = self._fleet.secret_key.encode()
+        self._router.curve_publickey = self._fleet.public_key.encode()
+        self._router.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_FRAMES)
+        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.bind(self._me.address)
+
+    async def on_stop(self) -> None:
+        """Close all sockets; what is queued gets a short time to leave."""
+        for instance in list(self._peers):
+            self._drop(instance)
+        if self._router is not None:
+            self._router.close()
+        if self._auth is not None:
+            self._auth.stop()
+        self._context.term()
+
+    @Service.task
+    async def _receive(self) -> None:
+        taken = 0
+        while not self.should_stop:
+            try:
+                frames = await self._router.recv_multipart()
+            except zmq.ZMQError:
+                return
+            self._take(frames[-1])
+            taken += 1
+            if taken % BATCH_FRAMES == 0:
+                await asyncio.sleep(0)
+
+    def tick(self, now: float) -> None:
+        """Send heartbeats; reconnect to silent peers; tell of lost ones."""
+        self._seq += 1
+        for instance, change in self._health.tick(now):
+            if change is Change.SUSPECT:
+                # A silent connection may be dead while a new one works.
+                self._drop(instance)
+            self._tell(instance, change, "")
+        for instance in self._health.watched():
+            self.send(instance, Ping(self._seq, self._revision()))
+
+    def _take(self, frame: bytes) -> None:
+        self._metrics.count("link_received_bytes", len(frame))
+        outcome = decode(frame)
+        if outcome.is_err():
+            self._metrics.count("link_dropped_frames")
+            logger.warning("frame dropped", extra={"reason": outcome.err_value})
+            return
+        envelope = outcome.ok_value
+        self.learn(envelope.instance, envelope.address)
+        change = self._health.heard(
+            envelope.instance, envelope.incarnation, self._clock()
+        )
+        if change is not None:
+            self._tell(envelope.instance, change, envelope.incarnation)
+        sender = Sender(envelope.instance, envelope.incarnation, envelope.address)
+        self._dispatch(sender, envelope.body)
+
+    def _dispatch(self, sender: Sender, message: Message) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._metrics.count("link_unhandled_messages")
+            return
+        try:
+            handler(sender, message)
+        except Exception:
+            # One message must never end the process.
+            self._metrics.count("link_handler_errors")
+            logger.exception("handler failed", extra={"type": type(message).__name__})
+
+    def _loop_back(self, message: Message) -> None:
+        self._dispatch(Sender(self._me.id, self._incarnation), message)
+
+    def _on_ping(self, sender: Sender, message: Ping) -> None:
+        self.send(sender.instance, Pong(message.seq, self._revision()))
+        self._tell_revision(sender, message.revision)
+
+    def _on_pong(self, sender: Sender, message: Pong) -> None:
+        self._tell_revision(sender, message.revision)
+
+    def _tell_revision(self, sender: Sender, revision: int) -> None:
+        for listener in self.on_revision:
+            listener(sender.instance, revision)
+
+    def _tell(self, instance: str, change: Change, incarnation: str) -> None:
+        logger.info("peer changed", extra={"peer": instance, "change": change.value})
+        for listener in self.on_change:
+            listener(instance, change, incarnation)
+
+    def _peer(self, instance: str) -> _Peer | None:
+        peer = self._peers.get(instance)
+        if peer is not None:
+            return peer
+        address = self._addresses.get(instance)
+        if address is None:
+            return None
+        peer = _Peer(address, self._connect(address))
+        self._peers[instance] = peer
+        self._health.watch(instance, self._clock())
+        return peer
+
+    def _connect(self, address: str) -> zmq.Socket:
+        socket = self._plain.socket(zmq.DEALER)
+        socket.curve_serverkey = self._fleet.public_key.encode()
+        socket.curve_publickey = self._fleet.public_key.encode()
+        socket.curve_secretkey = self._fleet.secret_key.encode()
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
+        socket.setsockopt(zmq.LINGER, LINGER_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.connect(address)
+        return socket
+
+    def _drop(self, instance: str) -> None:
+        peer = self._peers.pop(instance, None)
+        if peer is not None:
+            peer.socket.close()
+
+
+class _Keys:
+    """Tells which public keys may connect."""
+
+    def __init__(self, accepted: set[str]) -> None:
+        self._accepted = {key.encode() for key in accepted}
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a connection with this key is accepted."""
+        return key in self._accepted
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/logs.py
@@ -0,0 +1,85 @@
+"""Log lines as key=value pairs or JSON; never a key, never a prompt."""
+
+import json
+import logging
+import sys
+
+from ebonyglade_node.settings import LogSection
+
+_STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+
+
+def fields_of(record: logging.LogRecord) -> dict[str, object]:
+    """Return a record's standard fields and those passed as `extra`."""
+    fields: dict[str, object] = {
+        "time": round(record.created, 3),
+        "level": record.levelname.lower(),
+        "logger": record.name,
+        "message": record.getMessage(),
+    }
+    fields.update(
+        (name, value) for name, value in vars(record).items() if name not in _STANDARD
+    )
+    return fields
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats a record as key=value pairs on one line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line; a traceback follows it where there is one."""
+        pairs = [
+            f"{name}={_quoted(value)}" for name, value in fields_of(record).items()
+        ]
+        return _with_traceback(self, record, " ".join(pairs))
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the object on one line."""
+        fields = fields_of(record)
+        if record.exc_info:
+            fields["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(fields, default=str)
+
+
+def configure(section: LogSection, instance: str) -> None:
+    """Send all logs to standard error in the chosen format."""
+    handler = logging.StreamHandler(sys.stderr)
+    chosen = {"keyvalue": KeyValueFormatter, "json": JsonFormatter}
+    handler.setFormatter(chosen[section.format]())
+    handler.addFilter(_Stamp(instance))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(section.level)
+    for noisy in ("aiohttp.access", "mode", "asyncio"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+
+
+class _Stamp(logging.Filter):
+    """Adds the instance id to each record."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Stamp the record and let it pass."""
+        record.instance = self._instance
+        return True
+
+
+def _quoted(value: object) -> str:
+    text = str(value)
+    plain = text and not any(mark in text for mark in ' "=\n')
+    return text if plain else json.dumps(text)
+
+
+def _with_traceback(
+    formatter: logging.Formatter, record: logging.LogRecord, line: str
+) -> str:
+    if not record.exc_info:
+        return line
+    return f"{line}\n{formatter.formatException(record.exc_info)}"
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/settings.py
@@ -0,0 +1,144 @@
+"""Settings of one process: a TOML file, checked before anything starts."""
+
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Literal, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+
+from ebonyglade.errors import UserError
+
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class Section(BaseModel):
+    """Base of all sections; unknown names are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InstanceSection(Section):
+    """Who this process is.
+
+    Attributes:
+        id: instance id, as the platform lists it.
+        address: where other instances reach it, "tcp://IP:port".
+        zone: its availability zone.
+        region: region of the zone.
+    """
+
+    id: str
+    address: str
+    zone: str
+    region: str = ""
+
+    @field_validator("address")
+    @classmethod
+    def _is_numeric(cls, value: str) -> str:
+        return numeric_address(value)
+
+
+class PeerSection(Section):
+    """An instance to ask before the platform's list is known."""
+
+    id: str
+    address: str
+
+    @field_validator("address")
+    @classmethod
+    def _is_numeric(cls, value: str) -> str:
+        return numeric_address(value)
+
+
+class FleetSection(Section):
+    """Key pair that all instances of the fleet share, in Z85 text.
+
+    Attributes:
+        public_key: public half.
+        secret_key: secret half.
+        accept: further public keys to accept while the key pair is changed.
+    """
+
+    public_key: str = Field(min_length=40, max_length=40)
+    secret_key: str = Field(min_length=40, max_length=40, repr=False)
+    accept: tuple[str, ...] = ()
+
+
+class PlatformSection(Section):
+    """The platform's configuration service.
+
+    Attributes:
+        url: base address of its HTTP interface.
+        prefix: key prefix of this system's tree.
+        wait_s: seconds that one watch waits for a change.
+    """
+
+    url: str
+    prefix: str = "ebonyglade"
+    wait_s: float = Field(default=30.0, gt=0)
+
+
+class LogSection(Section):
+    """How to log."""
+
+    format: Literal["keyvalue", "json"] = "keyvalue"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class StatusSection(Section):
+    """Local address of health, metrics, `explain` and `audit`."""
+
+    host: str = "127.0.0.1"
+    port: int = Field(default=0, ge=0, le=65535)
+
+
+class NodeSettings(Section):
+    """Sections that both daemons have."""
+
+    instance: InstanceSection
+    fleet: FleetSection
+    platform: PlatformSection
+    peers: tuple[PeerSection, ...] = ()
+    logs: LogSection = LogSection()
+    status: StatusSection = StatusSection()
+
+
+def numeric_address(value: str) -> str:
+    """Return a "tcp://IP:port" address unchanged.
+
+    Raises:
+        ValueError: the host is not an IP number or the port is missing.
+    """
+    scheme, _, rest = value.partition("://")
+    host, _, port = rest.rpartition(":")
+    if scheme != "tcp" or not port.isdigit():
+        raise ValueError("must look like tcp://IP:port")
+    ipaddress.ip_address(host.strip("[]"))
+    return value
+
+
+def load(path: str, model: type[Model]) -> Model:
+    """Return the checked settings in a file.
+
+    Raises:
+        UserError: the file can't be read or a setting is wrong.
+    """
+    try:
+        text = Path(path).read_text()
+    except OSError as error:
+        raise UserError(f"{path}: {error.strerror}") from error
+    try:
+        return model.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise UserError(f"{path}: not TOML: {error}") from error
+    except ValidationError as error:
+        raise UserError(f"{path}: {_first_problem(error)}") from error
+
+
+def _first_problem(error: ValidationError) -> str:
+    problems = [
+        f"{'.'.join(str(part) for part in item['loc'])}: {item['msg']}"
+        for item in error.errors()
+    ]
+    return "; ".join(problems)
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/status.py
@@ -0,0 +1,81 @@
+"""Local HTTP address of a process: metrics, `explain` and `audit`."""
+
+from aiohttp import web
+from mode import Service
+
+from ebonyglade.audit import AuditRecord
+from ebonyglade_node.runtime import Node
+from ebonyglade_node.settings import StatusSection
+
+
+class StatusServer(Service):
+    """Answers operators on the instance itself."""
+
+    def __init__(self, section: StatusSection, node: Node) -> None:
+        super().__init__()
+        self._section = section
+        self._node = node
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def port(self) -> int:
+        """TCP port, once started."""
+        return self._runner.addresses[0][1]
+
+    async def on_start(self) -> None:
+        """Start to answer."""
+        app = web.Application()
+        app.router.add_get("/healthz", self._health)
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/explain", self._explain)
+        app.router.add_get("/audit", self._audit)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._section.host, self._section.port)
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Stop answering."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(text=self._node.metrics.render())
+
+    async def _audit(self, request: web.Request) -> web.Response:
+        records = self._node.config.audit.under(request.query.get("path", ""))
+        return web.json_response([_row(record) for record in records])
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        prefix = request.query.get("path", "")
+        store = self._node.config.store
+        rows = []
+        for path, accepted in sorted(store.documents.items()):
+            if not path.startswith(prefix):
+                continue
+            latest = store.latest(path)
+            rows.append(
+                {
+                    "path": path,
+                    "revision": accepted.item.revision,
+                    "author": accepted.document.author,
+                    "newest_revision": latest.revision if latest else 0,
+                    "in_force": accepted.item.value,
+                }
+            )
+        document = {"revision": store.revision, "documents": rows}
+        return web.json_response(document)
+
+
+def _row(record: AuditRecord) -> dict:
+    return {
+        "at": record.at,
+        "path": record.path,
+        "revision": record.revision,
+        "outcome": record.outcome.value,
+        "author": record.author,
+        "reason": record.reason,
+    }
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/audit.py
@@ -0,0 +1,74 @@
+"""Trail of the changes that a process saw, accepted or rejected."""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+AUDIT_CAPACITY = 4096  # records
+
+
+class Outcome(Enum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    REMOVED = "removed"
+    IGNORED = "ignored"
+
+
+@dataclass(frozen=True, slots=True)
+class AuditRecord:
+    """One change as this process saw it.
+
+    Attributes:
+        at: seconds on the wall clock that was passed in.
+        path: configuration path or subject of the change.
+        revision: platform revision that carried the change.
+        outcome: what became of it.
+        author: who made the change, as its document says; may be empty.
+        reason: why it was rejected or ignored; may be empty.
+    """
+
+    at: float
+    path: str
+    revision: int
+    outcome: Outcome
+    author: str = ""
+    reason: str = ""
+
+
+class AuditTrail:
+    """Bounded trail of records, newest last."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        capacity: int = AUDIT_CAPACITY,
+        listener: Callable[[AuditRecord], None] | None = None,
+    ) -> None:
+        self._clock = clock
+        self._records: deque[AuditRecord] = deque(maxlen=capacity)
+        self._listener = listener
+
+    def add(
+        self,
+        path: str,
+        revision: int,
+        outcome: Outcome,
+        author: str = "",
+        reason: str = "",
+    ) -> AuditRecord:
+        """Append a record and pass it to the listener."""
+        record = AuditRecord(self._clock(), path, revision, outcome, author, reason)
+        self._records.append(record)
+        if self._listener is not None:
+            self._listener(record)
+        return record
+
+    def __iter__(self) -> Iterator[AuditRecord]:
+        return iter(self._records)
+
+    def under(self, prefix: str) -> list[AuditRecord]:
+        """Return the records of all paths that start with `prefix`."""
+        return [record for record in self._records if record.path.startswith(prefix)]
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/calls.py
@@ -0,0 +1,133 @@
+"""A caller's request inside the filter chain, and what answers it."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+from result import Result
+
+from ebonyglade.config.view import Owner, RouteEntry, View
+from ebonyglade.verdict import Refusal
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """What a caller asks of a model.
+
+    Attributes:
+        model: model name.
+        text: the prompt.
+        tokens: estimated prompt tokens.
+        max_tokens: most tokens of the answer; None for the route's default.
+    """
+
+    model: str
+    text: str
+    tokens: int
+    max_tokens: int | None = None
+
+
+@dataclass(slots=True)
+class Call:
+    """One request and what the filters found out about it.
+
+    Attributes:
+        id: request id, unique over the fleet.
+        arrived: monotonic seconds.
+        view: configuration in force when the request arrived.
+        method: HTTP method.
+        path: path with its query, as sent.
+        headers: headers to pass on, without the caller's key.
+        body: whole body.
+        key: the caller's key; cleared once it is identified.
+        idempotency_key: the caller's idempotency key; may be empty.
+        prompt: set for model requests.
+        owner: workspace that the request runs for.
+        route: route that serves it.
+        deadline: monotonic seconds by which it must be answered.
+    """
+
+    id: str
+    arrived: float
+    view: View
+    method: str
+    path: str
+    headers: Headers
+    body: bytes = b""
+    key: str = ""
+    idempotency_key: str = ""
+    prompt: Prompt | None = None
+    owner: Owner | None = None
+    route: RouteEntry | None = None
+    deadline: float = 0.0
+
+    @property
+    def workspace(self) -> str:
+        """Workspace that the request runs for; "" before it is known."""
+        return self.owner.workspace if self.owner else ""
+
+    @property
+    def max_tokens(self) -> int:
+        """Most tokens of the answer, within the route's limit."""
+        most = self.route.route.max_output_tokens
+        asked = self.prompt.max_tokens
+        return most if asked is None else min(most, asked)
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An endpoint's answer to a service call."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True)
+class TokenStream:
+    """An answer under way.
+
+    Attributes:
+        tokens: batches of tokens; ends normally only if the answer is whole
+            and otherwise raises `StreamFailed`.
+        prompt_tokens: tokens of the prompt as the engine counted them.
+    """
+
+    tokens: AsyncIterator[list[str]]
+    prompt_tokens: int = 0
+
+
+class StreamFailed(Exception):
+    """An answer ended before it was whole."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+Answer = WholeAnswer | TokenStream
+Reply = Result[Answer, Refusal]
+Proceed = Callable[[Call], Awaitable[Reply]]
+Filter = Callable[[Call, Proceed], Awaitable[Reply]]
+
+
+@dataclass(slots=True)
+class Chain:
+    """Filters around a last step; each may refuse, change or wait."""
+
+    filters: list[Filter] = field(default_factory=list)
+
+    def around(self, last: Proceed) -> Proceed:
+        """Return one function that runs all filters and then `last`."""
+        proceed = last
+        for step in reversed(self.filters):
+            proceed = _bind(step, proceed)
+        return proceed
+
+
+def _bind(step: Filter, proceed: Proceed) -> Proceed:
+    async def run(call: Call) -> Reply:
+        return await step(call, proceed)
+
+    return run
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The entry's side of a request: filters, attempts and answers."""
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/filters.py
@@ -0,0 +1,75 @@
+"""Filters that identify a request and find its route."""
+
+from result import Err
+
+from ebonyglade.calls import Call, Proceed, Reply
+from ebonyglade.config.view import OPEN_WORKSPACE, Owner, RouteEntry
+from ebonyglade.verdict import refuse
+
+_OPEN_OWNER = Owner(OPEN_WORKSPACE, "", withdrawn=False)
+
+
+async def identify(call: Call, proceed: Proceed) -> Reply:
+    """Find the workspace of the caller's key and drop the key."""
+    key, call.key = call.key, ""
+    owner = call.view.owner_of(key) if key else None
+    if key and owner is None:
+        return Err(refuse("key_unknown"))
+    if owner is not None and owner.withdrawn:
+        return Err(refuse("key_withdrawn"))
+    call.owner = owner
+    return await proceed(call)
+
+
+async def find_route(call: Call, proceed: Proceed) -> Reply:
+    """Find the route, which must be open or allowed for the workspace."""
+    routes = _candidates(call)
+    allowed = [entry for entry in routes if _may_use(call.owner, entry)]
+    if not routes or (call.owner is not None and not allowed):
+        return Err(refuse("route_unknown"))
+    if not allowed:
+        return Err(refuse("key_missing"))
+    call.route = _preferred(call.owner, allowed)
+    if call.prompt is None and call.method not in call.route.route.methods:
+        return Err(refuse("method_not_allowed"))
+    if call.owner is None:
+        call.owner = _OPEN_OWNER
+    call.deadline = call.arrived + call.route.route.deadline_s
+    return await proceed(call)
+
+
+async def check_size(call: Call, proceed: Proceed) -> Reply:
+    """Refuse prompts that are longer than the route takes."""
+    route = call.route.route
+    if call.prompt is not None and call.prompt.tokens > route.max_prompt_tokens:
+        return Err(refuse("prompt_too_long"))
+    return await proceed(call)
+
+
+def _candidates(call: Call) -> list[RouteEntry]:
+    if call.prompt is not None:
+        return call.view.models.get(call.prompt.model, [])
+    path = call.path.partition("?")[0]
+    matching = [entry for entry in call.view.services if _covers(entry, path)]
+    if not matching:
+        return []
+    longest = len(matching[0].route.path)
+    return [entry for entry in matching if len(entry.route.path) == longest]
+
+
+def _covers(entry: RouteEntry, path: str) -> bool:
+    prefix = entry.route.path.rstrip("/")
+    return path == prefix or path.startswith(prefix + "/")
+
+
+def _may_use(owner: Owner | None, entry: RouteEntry) -> bool:
+    if entry.route.open:
+        return True
+    if owner is None:
+        return False
+    return owner.team == entry.team or owner.team in entry.route.shared_with
+
+
+def _preferred(owner: Owner | None, allowed: list[RouteEntry]) -> RouteEntry:
+    team = owner.team if owner else ""
+    return min(allowed, key=lambda entry: (entry.team != team, entry.name))
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/members/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: health of peers and the published list."""
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -0,0 +1,107 @@
+"""Whether a failed request may have run, and how each failure is refused."""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+
+class Verdict(Enum):
+    """What is known about the execution of a request that failed.
+
+    Only the part that owns the last step before execution may say `NOT_RUN`;
+    the default on any doubt is `MAY_HAVE_RUN`.
+    """
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A typed failure of one request.
+
+    Attributes:
+        code: stable, documented name of the failure.
+        status: HTTP status for the caller.
+        verdict: whether the request may have run.
+        message: one sentence for the caller.
+        retry_after: seconds after which a new try makes sense; None if never.
+    """
+
+    code: str
+    status: int
+    verdict: Verdict
+    message: str
+    retry_after: float | None = None
+
+    def because(
+        self,
+        message: str | None = None,
+        verdict: Verdict | None = None,
+        retry_after: float | None = None,
+    ) -> "Refusal":
+        """Return this refusal with a more exact message, verdict or wait."""
+        return replace(
+            self,
+            message=message or self.message,
+            verdict=verdict or self.verdict,
+            retry_after=self.retry_after if retry_after is None else retry_after,
+        )
+
+
+def _row(
+    code: str,
+    status: int,
+    message: str,
+    retry_after: float | None = None,
+    verdict: Verdict = Verdict.NOT_RUN,
+) -> tuple[str, Refusal]:
+    return code, Refusal(code, status, verdict, message, retry_after)
+
+
+_MAYBE = Verdict.MAY_HAVE_RUN
+
+# One row for each failure that a caller can meet; docs/refusals.md explains them.
+REFUSALS: dict[str, Refusal] = dict(
+    [
+        _row("key_missing", 401, "No key came with the request."),
+        _row("key_unknown", 401, "The key is not known."),
+        _row("key_withdrawn", 401, "The key was withdrawn."),
+        _row("route_unknown", 404, "No route serves this method, path or model."),
+        _row("method_not_allowed", 405, "The route does not take this method."),
+        _row("body_invalid", 400, "The body could not be understood."),
+        _row("body_too_large", 413, "The body is larger than the limit."),
+        _row("headers_too_large", 431, "The headers are larger than the limit."),
+        _row("read_timeout", 408, "The body did not arrive in time.", 1.0),
+        _row("prompt_too_long", 400, "Prompt and answer exceed the route's limit."),
+        _row("rate_exceeded", 429, "The workspace's rate is used up.", 1.0),
+        _row("rate_impossible", 400, "The request costs more than the burst."),
+        _row("overloaded", 503, "All endpoints are full.", 1.0),
+        _row("no_endpoint", 503, "No endpoint serves this route now.", 2.0),
+        _row("endpoint_down", 503, "The endpoint could not be reached.", 1.0),
+        _row("endpoint_failed", 502, "The endpoint failed.", None, _MAYBE),
+        _row(
+            "agent_lost", 502, "The endpoint's agent stopped answering.", None, _MAYBE
+        ),
+        _row("deadline_exceeded", 504, "The deadline passed.", None, _MAYBE),
+        _row("deadline_infeasible", 503, "The deadline could not be met.", 1.0),
+        _row("stopping", 503, "This instance is stopping.", 0.0),
+        _row("starting", 503, "This instance has no configuration yet.", 1.0),
+        _row("quarantined", 422, "This request failed endpoints before."),
+        _row("ticket_required", 428, "This route needs an idempotency ticket."),
+        _row("ticket_lost", 409, "The ticket's owner is gone.", None, _MAYBE),
+        _row("in_progress", 409, "The same key is still being worked on.", 1.0, _MAYBE),
+        _row("key_reused", 422, "The idempotency key came with another request."),
+        _row("cancelled", 499, "The caller went away.", None, _MAYBE),
+        _row("internal", 500, "An internal error occurred.", None, _MAYBE),
+    ]
+)
+
+
+def refuse(code: str, **changes: object) -> Refusal:
+    """Return the refusal named `code`, with changes as in `Refusal.because`.
+
+    Raises:
+        KeyError: the code is not in the table; this is a bug.
+    """
+    return REFUSALS[code].because(**changes)  # type: ignore[arg-type]
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes and their codec."""
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -0,0 +1,257 @@
+"""The work of an agent: the only sender to the endpoint beside it."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from ebonyglade.ports import (
+    Clock,
+    DecodeJob,
+    Engine,
+    EngineError,
+    PrefillJob,
+    Sender,
+    ServiceCaller,
+    Transport,
+)
+from ebonyglade.verdict import Verdict, refuse
+from ebonyglade.wire.messages import (
+    Cancel,
+    Chunk,
+    Credit,
+    Decode,
+    Done,
+    Failed,
+    Message,
+    Prefill,
+    Prefilled,
+    Renew,
+    Reserve,
+    Reserved,
+    Serve,
+    Served,
+)
+from ebonyglade.worker.slots import SlotTable
+
+FIRST_CREDIT_TOKENS = 256
+
+
+@dataclass(slots=True)
+class _Job:
+    """A job at the endpoint."""
+
+    holder: Sender
+    task: asyncio.Task | None = None
+    started: bool = False
+    credit: int = FIRST_CREDIT_TOKENS
+    more: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Worker:
+    """Handles the messages of entries and runs jobs at the endpoint."""
+
+    def __init__(
+        self,
+        engine: Engine | None,
+        service: ServiceCaller | None,
+        transport: Transport,
+        clock: Clock,
+        slots: SlotTable,
+        prefill_slots: int = 1,
+    ) -> None:
+        self._engine = engine
+        self._service = service
+        self._transport = transport
+        self._clock = clock
+        self._slots = slots
+        self._jobs: dict[str, _Job] = {}
+        self._prefills = asyncio.Semaphore(prefill_slots)
+        self._draining = False
+        self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
+            Reserve: self._on_reserve,
+            Prefill: self._on_prefill,
+            Decode: self._on_decode,
+            Serve: self._on_serve,
+            Credit: self._on_credit,
+            Cancel: self._on_cancel,
+            Renew: self._on_renew,
+        }
+
+    @property
+    def busy(self) -> int:
+        """Jobs and reservations that are not finished."""
+        return len(self._jobs) + (self._slots.reserved_only(self._jobs))
+
+    def drain(self) -> None:
+        """Refuse new work; what is under way goes on."""
+        self._draining = True
+
+    def tick(self, now: float) -> None:
+        """End the jobs whose leases ran out."""
+        for attempt in self._slots.expire(now):
+            self._stop_job(attempt)
+
+    def _on_reserve(self, sender: Sender, message: Reserve) -> None:
+        if self._draining:
+            self._fail(sender, message.attempt, "stopping")
+            return
+        held = self._slots.reserve(
+            message.attempt, sender.instance, message.pieces, self._clock()
+        )
+        if not held:
+            self._fail(sender, message.attempt, "overloaded")
+            return
+        reply = Reserved(message.attempt, 0.0, self._slots.term)
+        self._transport.send(sender.instance, reply)
+
+    def _on_prefill(self, sender: Sender, message: Prefill) -> None:
+        if self._draining:
+            self._fail(sender, message.attempt, "stopping")
+            return
+        self._start(sender, message.attempt, self._prefill(sender, message))
+
+    def _on_decode(self, sender: Sender, message: Decode) -> None:
+        if self._claims(sender, message.attempt):
+            self._start(sender, message.attempt, self._decode(sender, message))
+
+    def _on_serve(self, sender: Sender, message: Serve) -> None:
+        if self._claims(sender, message.attempt):
+            self._start(sender, message.attempt, self._serve(sender, message))
+
+    def _on_credit(self, sender: Sender, message: Credit) -> None:
+        job = self._jobs.get(message.attempt)
+        if job is not None and job.holder.instance == sender.instance:
+            job.credit = max(job.credit, message.upto)
+            job.more.set()
+
+    def _on_cancel(self, sender: Sender, message: Cancel) -> None:
+        job = self._jobs.get(message.attempt)
+        if job is not None and job.holder.instance != sender.instance:
+            return
+        self._stop_job(message.attempt)
+        self._slots.release(message.attempt)
+
+    def _on_renew(self, sender: Sender, message: Renew) -> None:
+        now = self._clock()
+        for attempt in message.attempts:
+            self._slots.renew(attempt, sender.instance, now)
+
+    def _claims(self, sender: Sender, attempt: str) -> bool:
+        """Return whether a job may start: its lease is in force, once."""
+        if attempt in self._jobs:
+            return False
+        if self._slots.holds(attempt, sender.instance, self._clock()):
+            return True
+        self._fail(sender, attempt, "endpoint_down", "The slot's lease ran out.")
+        return False
+
+    def _start(
+        self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
+    ) -> None:
+        if attempt in self._jobs:
+            work.close()
+            return
+        job = _Job(sender)
+        self._jobs[attempt] = job
+        job.task = asyncio.ensure_future(self._run(sender, attempt, work))
+
+    async def _run(
+        self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
+    ) -> None:
+        job = self._jobs[attempt]
+        try:
+            await work
+        except EngineError as error:
+            verdict = Verdict.MAY_HAVE_RUN if error.ran else Verdict.NOT_RUN
+            code = "endpoint_failed" if error.ran else "endpoint_down"
+            self._fail(sender, attempt, code, str(error), verdict)
+        except TimeoutError:
+            verdict = Verdict.MAY_HAVE_RUN if job.started else Verdict.NOT_RUN
+            self._fail(sender, attempt, "deadline_exceeded", verdict=verdict)
+        finally:
+            self._jobs.pop(attempt, None)
+            self._slots.release(attempt)
+
+    async def _prefill(self, sender: Sender, message: Prefill) -> None:
+        job = self._jobs[message.attempt]
+        try:
+            async with asyncio.timeout(message.within), self._prefills:
+                job.started = True
+                result = await self._engine.prefill(
+                    PrefillJob(
+                        message.attempt, message.model, message.prompt, message.priority
+                    )
+                )
+        except (TimeoutError, asyncio.CancelledError):
+            if job.started:
+                await self._engine.cancel(message.attempt)
+            raise
+        reply = Prefilled(
+            message.attempt, result.source, result.handle, result.tokens, result.cached
+        )
+        self._transport.send(sender.instance, reply)
+
+    async def _decode(self, sender: Sender, message: Decode) -> None:
+        job = self._jobs[message.attempt]
+        job.credit = max(job.credit, len(message.resume) + FIRST_CREDIT_TOKENS)
+        work = DecodeJob(
+            message.attempt,
+            message.model,
+            message.prompt,
+            message.source,
+            message.handle,
+            message.max_tokens,
+            tuple(message.resume),
+            message.priority,
+        )
+        whole = False
+        job.started = True
+        try:
+            async with asyncio.timeout(message.within):
+                total = await self._relay(sender, job, work)
+            whole = True
+        finally:
+            if not whole:
+                await self._engine.cancel(message.attempt)
+        self._transport.send(sender.instance, Done(message.attempt, total))
+
+    async def _relay(self, sender: Sender, job: _Job, work: DecodeJob) -> int:
+        """Pass tokens on as they come and return their number."""
+        total = len(work.resume)
+        async for token in self._engine.decode(work):
+            chunk = Chunk(work.job, token.index, [token.text])
+            self._transport.send(sender.instance, chunk)
+            total = token.index + 1
+            while total >= job.credit:
+                job.more.clear()
+                await job.more.wait()
+        return total
+
+    async def _serve(self, sender: Sender, message: Serve) -> None:
+        job = self._jobs[message.attempt]
+        job.started = True
+        async with asyncio.timeout(message.within):
+            served = await self._service.call(
+                message.method, message.path, message.headers, message.body
+            )
+        reply = Served(message.attempt, served.status, served.headers, served.body)
+        self._transport.send(sender.instance, reply)
+
+    def _stop_job(self, attempt: str) -> None:
+        job = self._jobs.get(attempt)
+        if job is not None and job.task is not None:
+            job.task.cancel()
+
+    def _fail(
+        self,
+        sender: Sender,
+        attempt: str,
+        code: str,
+        reason: str = "",
+        verdict: Verdict | None = None,
+    ) -> None:
+        refusal = refuse(code, message=reason or None, verdict=verdict)
+        failed = Failed(
+            attempt, code, refusal.verdict.value, refusal.message, refusal.retry_after
+        )
+        self._transport.send(sender.instance, failed)
