Separate decisions from I/O and run them on a virtual clock

Cause: entry and agent decisions lived in the daemons, so no test could run them without sockets and real time. Change: EntryCore and AgentCore in the library take a context of clock, randomness and transport; the daemons add sockets. The lab runs the same cores on a virtual event loop with a fake network, platform and endpoints.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
@@ -1,4 +1,4 @@
-"""The agent as one service made of its parts."""
+"""The agent daemon: the agent's decisions with sockets and clocks."""
 
 import asyncio
 import logging
@@ -6,17 +6,14 @@
 import aiohttp
 from mode import Service
 
-from ebonyglade.wire.messages import Leaving
-from ebonyglade.worker.slots import SlotTable
-from ebonyglade.worker.worker import Worker
+from ebonyglade.agent import AgentCore, EndpointLimits
 from ebonyglade_agent.engine import HttpEngine, HttpService, new_session
 from ebonyglade_agent.settings import AgentSettings
-from ebonyglade_node.runtime import Node, clock
+from ebonyglade_node.runtime import Node
 from ebonyglade_node.status import StatusServer
 
 logger = logging.getLogger(__name__)
 
-TICK_S = 0.25
 DRAIN_POLL_S = 0.05
 
 
@@ -27,13 +24,8 @@
         super().__init__()
         self._settings = settings
         self.node = Node(settings)
-        self.status = StatusServer(settings.status, self.node)
+        self.core: AgentCore | None = None
         self._session: aiohttp.ClientSession | None = None
-        self.worker: Worker | None = None
-
-    def on_init_dependencies(self) -> list[Service]:
-        """Start the shared parts first."""
-        return [self.node, self.status]
 
     async def on_start(self) -> None:
         """Connect the endpoint and start to take work."""
@@ -41,17 +33,20 @@
         self._session = new_session()
         makers = {"engine": (HttpEngine, None), "service": (None, HttpService)}
         engine, service = makers[section.kind]
-        self.worker = Worker(
+        self.core = AgentCore(
+            self.node.context,
+            EndpointLimits(
+                section.slots, section.pieces, section.prefill_slots, section.lease_s
+            ),
             engine(section.url, self._session) if engine else None,
             service(section.url, self._session) if service else None,
-            self.node.link,
-            clock,
-            SlotTable(section.slots, section.pieces, section.lease_s),
-            section.prefill_slots,
         )
-        self.node.link.handle(self.worker.handlers)
-        self.node.timers.subscribe(TICK_S, self.worker.tick, clock())
-        self.node.metrics.gauge("busy", lambda: self.worker.busy)
+        self.node.attach(self.core.peers, self.core.config)
+        self.node.metrics.gauge("busy", lambda: self.core.worker.busy)
+        await self.add_runtime_dependency(self.node)
+        await self.add_runtime_dependency(
+            StatusServer(self._settings.status, self.node)
+        )
 
     async def on_stop(self) -> None:
         """Close the connections to the endpoint."""
@@ -61,13 +56,12 @@
     async def drain(self) -> None:
         """Announce the stop, refuse new work and finish what is under way."""
         section = self._settings.endpoint
-        for instance in self.node.link.known():
-            self.node.link.send(instance, Leaving())
-        self.worker.drain()
+        worker = self.core.worker
+        self.core.drain(self.node.link.known)
         await asyncio.sleep(section.leave_s)
         try:
             async with asyncio.timeout(section.drain_s):
-                while self.worker.busy:
+                while worker.busy:
                     await asyncio.sleep(DRAIN_POLL_S)
         except TimeoutError:
-            logger.error("jobs were cut off", extra={"open": self.worker.busy})
+            logger.error("jobs were cut off", extra={"open": worker.busy})
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -0,0 +1,136 @@
+"""A fake network between processes, with faults that a test sets."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ebonyglade.ports import Sender
+from ebonyglade.wire.base import Message
+from ebonyglade.wire.codec import decode, encode
+from ebonyglade_lab.virtual.process import Process
+
+DELAY_S = 0.001
+JITTER_S = 0.0005
+
+
+@dataclass(slots=True)
+class Faults:
+    """What the network does wrong.
+
+    Attributes:
+        cut: pairs of instances that can't reach each other.
+        silent: connections, by sender and receiver, that lose everything
+            until the sender reconnects.
+        lose: probability that a message is lost.
+        repeat: probability that a message arrives twice.
+        late: probability that a message is late and may be overtaken.
+        late_s: most seconds by which it is late.
+    """
+
+    cut: set[frozenset[str]] = field(default_factory=set)
+    silent: set[tuple[str, str]] = field(default_factory=set)
+    lose: float = 0.0
+    repeat: float = 0.0
+    late: float = 0.0
+    late_s: float = 0.5
+
+
+class Network:
+    """Delivers frames between processes in order, but for its faults."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._receivers: dict[str, Callable[[bytes], None]] = {}
+        self._last: dict[tuple[str, str], float] = {}
+        self.faults = Faults()
+        self.frames = 0
+        self.bytes = 0
+
+    def attach(self, instance: str, receive: Callable[[bytes], None]) -> None:
+        """Deliver an instance's frames to `receive`, also after a restart."""
+        self._receivers[instance] = receive
+
+    def detach(self, instance: str) -> None:
+        """Drop what is sent to an instance from now on."""
+        self._receivers.pop(instance, None)
+
+    def send(self, source: str, target: str, frame: bytes) -> None:
+        """Take a frame on its way."""
+        self.frames += 1
+        self.bytes += len(frame)
+        if self._lost(source, target):
+            return
+        self._schedule(source, target, frame)
+        if self._rng.random() < self.faults.repeat:
+            self._schedule(source, target, frame)
+
+    def _lost(self, source: str, target: str) -> bool:
+        if frozenset((source, target)) in self.faults.cut:
+            return True
+        if (source, target) in self.faults.silent:
+            return True
+        return self._rng.random() < self.faults.lose
+
+    def _schedule(self, source: str, target: str, frame: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        at = loop.time() + DELAY_S + self._rng.random() * JITTER_S
+        if self._rng.random() < self.faults.late:
+            at += self._rng.random() * self.faults.late_s
+        else:
+            at = max(at, self._last.get((source, target), 0.0) + 1e-9)
+            self._last[source, target] = at
+        loop.call_at(at, self._arrive, source, target, frame)
+
+    def _arrive(self, source: str, target: str, frame: bytes) -> None:
+        if frozenset((source, target)) in self.faults.cut:
+            return
+        receive = self._receivers.get(target)
+        if receive is not None:
+            receive(frame)
+
+
+class VirtualTransport:
+    """The transport of one process on the fake network."""
+
+    def __init__(self, process: Process, network: Network) -> None:
+        self._process = process
+        self._network = network
+        self._held: list[tuple[str, Message]] = []
+        self._known: set[str] = set()
+        self.on_connect: Callable[[str], None] = lambda instance: None
+
+    def send(self, instance: str, message: Message) -> bool:
+        """Send a message, or hold it back while the process stands still."""
+        if self._process.dead:
+            return False
+        if instance not in self._known:
+            self._known.add(instance)
+            self.on_connect(instance)
+        if self._process.paused:
+            # What was decided before a pause leaves the process after it.
+            self._held.append((instance, message))
+            return True
+        me = self._process
+        frame = encode(me.instance, me.incarnation, me.instance, message)
+        self._network.send(me.instance, instance, frame)
+        return True
+
+    def release(self) -> None:
+        """Send what was held back during a pause."""
+        held, self._held = self._held, []
+        for instance, message in held:
+            self.send(instance, message)
+
+    def learn(self, instance: str, address: str) -> None:
+        """Addresses are instance ids here; nothing is to be learned."""
+
+    def reconnect(self, instance: str) -> None:
+        """Leave a silent connection behind."""
+        self._network.faults.silent.discard((self._process.instance, instance))
+
+
+def open_frame(frame: bytes) -> tuple[Sender, Message]:
+    """Return the sender and message of a frame that a process sent."""
+    envelope = decode(frame).unwrap()
+    return Sender(envelope.instance, envelope.incarnation), envelope.body
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/platform.py
@@ -0,0 +1,51 @@
+"""A fake platform: a tree with revisions that readers may see late."""
+
+from dataclasses import dataclass, field
+
+import tomli_w
+
+from ebonyglade.wire.control import ConfigItem
+
+
+@dataclass(slots=True)
+class VirtualPlatform:
+    """The published tree and what each reader sees of it.
+
+    Attributes:
+        items: newest documents by path.
+        revision: newest revision.
+        silent: readers that get no answer.
+        stale: readers that get an older copy.
+        calls: reads so far.
+    """
+
+    items: dict[str, ConfigItem] = field(default_factory=dict)
+    revision: int = 1
+    silent: set[str] = field(default_factory=set)
+    stale: dict[str, tuple[int, dict[str, ConfigItem]]] = field(default_factory=dict)
+    calls: int = 0
+
+    def publish(self, path: str, /, **document: object) -> int:
+        """Publish a document and return its revision."""
+        self.revision += 1
+        text = tomli_w.dumps(document)
+        self.items[path] = ConfigItem(path, self.revision, text)
+        return self.revision
+
+    def remove(self, path: str) -> int:
+        """Remove a document and return the revision of the removal."""
+        self.revision += 1
+        self.items.pop(path, None)
+        return self.revision
+
+    def freeze(self, reader: str) -> None:
+        """Answer a reader with the present copy from now on."""
+        self.stale[reader] = (self.revision, dict(self.items))
+
+    def read(self, reader: str) -> tuple[int, list[ConfigItem]] | None:
+        """Return revision and documents as a reader sees them, or None."""
+        self.calls += 1
+        if reader in self.silent:
+            return None
+        revision, items = self.stale.get(reader, (self.revision, self.items))
+        return revision, list(items.values())
--- a/packages/ebonyglade-node/src/ebonyglade_node/link.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/link.py
@@ -15,10 +15,9 @@
 from mode import Service
 from zmq.auth.asyncio import AsyncioAuthenticator
 
-from ebonyglade.members.health import Change, HealthTable
 from ebonyglade.ports import Sender
+from ebonyglade.wire.base import Message
 from ebonyglade.wire.codec import MAX_FRAME_BYTES, decode, encode
-from ebonyglade.wire.messages import Message, Ping, Pong
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.settings import FleetSection, InstanceSection
 
@@ -31,7 +30,7 @@
 RECONNECT_MAX_MS = 1000
 BATCH_FRAMES = 200  # frames handled before other tasks run
 
-Handler = Callable[[Sender, Message], None]
+Deliver = Callable[[Sender, Message], None]
 
 
 @dataclass(slots=True)
@@ -43,7 +42,7 @@
 
 
 class Link(Service):
-    """Sends and takes messages; watches the health of the peers it talks to."""
+    """Sends and takes messages; the transport of one process."""
 
     def __init__(
         self,
@@ -51,55 +50,43 @@
         fleet: FleetSection,
         incarnation: str,
         metrics: Metrics,
-        clock: Callable[[], float],
     ) -> None:
         super().__init__()
         self._me = instance
         self._fleet = fleet
         self._incarnation = incarnation
         self._metrics = metrics
-        self._clock = clock
-        self._handlers: dict[type[Message], Handler] = {}
         self._peers: dict[str, _Peer] = {}
         self._addresses: dict[str, str] = {}
-        self._health = HealthTable()
-        self._revision: Callable[[], int] = lambda: 0
         self._context = zmq.asyncio.Context()
         self._plain = zmq.Context.shadow(self._context)
         self._router: zmq.asyncio.Socket | None = None
         self._auth: AsyncioAuthenticator | None = None
-        self._seq = 0
-        self.on_change: list[Callable[[str, Change, str], None]] = []
-        self.on_revision: list[Callable[[str, int], None]] = []
-        self.handle({Ping: self._on_ping, Pong: self._on_pong})
-
-    @property
-    def health(self) -> HealthTable:
-        """Health of the peers that this instance talks to."""
-        return self._health
-
-    def handle(self, handlers: dict[type[Message], Handler]) -> None:
-        """Add handlers by message type."""
-        self._handlers.update(handlers)
-
-    def tell_revision(self, revision: Callable[[], int]) -> None:
-        """Put the revision that `revision` returns into each heartbeat."""
-        self._revision = revision
+        self.on_message: Deliver = lambda sender, message: None
+        self.on_connect: Callable[[str], None] = lambda instance: None
 
     def learn(self, instance: str, address: str) -> None:
         """Remember where an instance takes messages."""
         if address and self._addresses.get(instance) != address:
             self._addresses[instance] = address
-            self._drop(instance)
+            self.reconnect(instance)
 
     def known(self) -> list[str]:
         """Return the ids of all instances with a known address."""
         return list(self._addresses)
 
+    def reconnect(self, instance: str) -> None:
+        """Drop the connection to a peer; the next message opens a new one."""
+        peer = self._peers.pop(instance, None)
+        if peer is not None:
+            peer.socket.close()
+
     def send(self, instance: str, message: Message) -> bool:
         """Queue a message; False if the peer is unknown or its queue is full."""
         if instance == self._me.id:
-            asyncio.get_running_loop().call_soon(self._loop_back, message)
+            asyncio.get_running_loop().call_soon(
+                self._deliver, Sender(self._me.id, self._incarnation), message
+            )
             return True
         peer = self._peer(instance)
         if peer is None:
@@ -132,7 +119,7 @@
     async def on_stop(self) -> None:
         """Close all sockets; what is queued gets a short time to leave."""
         for instance in list(self._peers):
-            self._drop(instance)
+            self.reconnect(instance)
         if self._router is not None:
             self._router.close()
         if self._auth is not None:
@@ -152,17 +139,6 @@
             if taken % BATCH_FRAMES == 0:
                 await asyncio.sleep(0)
 
-    def tick(self, now: float) -> None:
-        """Send heartbeats; reconnect to silent peers; tell of lost ones."""
-        self._seq += 1
-        for instance, change in self._health.tick(now):
-            if change is Change.SUSPECT:
-                # A silent connection may be dead while a new one works.
-                self._drop(instance)
-            self._tell(instance, change, "")
-        for instance in self._health.watched():
-            self.send(instance, Ping(self._seq, self._revision()))
-
     def _take(self, frame: bytes) -> None:
         self._metrics.count("link_received_bytes", len(frame))
         outcome = decode(frame)
@@ -171,46 +147,17 @@
             logger.warning("frame dropped", extra={"reason": outcome.err_value})
             return
         envelope = outcome.ok_value
-        self.learn(envelope.instance, envelope.address)
-        change = self._health.heard(
-            envelope.instance, envelope.incarnation, self._clock()
-        )
-        if change is not None:
-            self._tell(envelope.instance, change, envelope.incarnation)
         sender = Sender(envelope.instance, envelope.incarnation, envelope.address)
-        self._dispatch(sender, envelope.body)
+        self._deliver(sender, envelope.body)
 
-    def _dispatch(self, sender: Sender, message: Message) -> None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            self._metrics.count("link_unhandled_messages")
-            return
+    def _deliver(self, sender: Sender, message: Message) -> None:
         try:
-            handler(sender, message)
+            self.on_message(sender, message)
         except Exception:
             # One message must never end the process.
             self._metrics.count("link_handler_errors")
             logger.exception("handler failed", extra={"type": type(message).__name__})
 
-    def _loop_back(self, message: Message) -> None:
-        self._dispatch(Sender(self._me.id, self._incarnation), message)
-
-    def _on_ping(self, sender: Sender, message: Ping) -> None:
-        self.send(sender.instance, Pong(message.seq, self._revision()))
-        self._tell_revision(sender, message.revision)
-
-    def _on_pong(self, sender: Sender, message: Pong) -> None:
-        self._tell_revision(sender, message.revision)
-
-    def _tell_revision(self, sender: Sender, revision: int) -> None:
-        for listener in self.on_revision:
-            listener(sender.instance, revision)
-
-    def _tell(self, instance: str, change: Change, incarnation: str) -> None:
-        logger.info("peer changed", extra={"peer": instance, "change": change.value})
-        for listener in self.on_change:
-            listener(instance, change, incarnation)
-
     def _peer(self, instance: str) -> _Peer | None:
         peer = self._peers.get(instance)
         if peer is not None:
@@ -220,7 +167,7 @@
             return None
         peer = _Peer(address, self._connect(address))
         self._peers[instance] = peer
-        self._health.watch(instance, self._clock())
+        self.on_connect(instance)
         return peer
 
     def _connect(self, address: str) -> zmq.Socket:
@@ -235,11 +182,6 @@
         socket.connect(address)
         return socket
 
-    def _drop(self, instance: str) -> None:
-        peer = self._peers.pop(instance, None)
-        if peer is not None:
-            peer.socket.close()
-
 
 class _Keys:
     """Tells which public keys may connect."""
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -12,7 +12,7 @@
 import aiohttp
 from mode import Service
 
-from ebonyglade.wire.messages import ConfigItem
+from ebonyglade.wire.control import ConfigItem
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.settings import PlatformSection
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import logging
+import random
 import secrets
+import time
 
 from mode import Service
 
-from ebonyglade.config.view import View
-from ebonyglade.timer import TimerService
-from ebonyglade_node.configuration import ConfigController
+from ebonyglade.config.controller import ConfigController
+from ebonyglade.context import Context, Identity
+from ebonyglade.events import Event
+from ebonyglade.invariants import Invariants
+from ebonyglade.members.health import Change
+from ebonyglade.members.peers import Peers
+from ebonyglade.ports import Sender
+from ebonyglade.wire.base import Message
 from ebonyglade_node.link import Link
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.platform import PlatformWatcher
@@ -17,7 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-HEARTBEAT_S = 1.0
 INCARNATION_BYTES = 8
 
 
@@ -27,47 +33,61 @@
 
 
 class Node(Service):
-    """Link, timers, configuration and platform watch of one process."""
+    """Link, timers, metrics and platform watch of one process."""
 
     def __init__(self, settings: NodeSettings) -> None:
         super().__init__()
         self.settings = settings
-        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.metrics = Metrics()
-        self.timers = TimerService()
-        self.link = Link(
-            settings.instance, settings.fleet, self.incarnation, self.metrics, clock
+        me = settings.instance
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.link = Link(me, settings.fleet, incarnation, self.metrics)
+        self.context = Context(
+            me=Identity(me.id, incarnation, me.zone, me.region),
+            transport=self.link,
+            clock=clock,
+            wall=time.time,
+            rng=random.Random(secrets.randbits(128)),
+            count=self.metrics.count,
+            invariants=Invariants(count=self.metrics.count),
         )
-        self.config = ConfigController(self.link)
-        self.runner = TimerRunner(self.timers, clock)
-        self.watcher = PlatformWatcher(
-            settings.platform, self.metrics, self.config.take_snapshot
+        self.runner = TimerRunner(self.context.timers, clock)
+        self.runner.on_pause.append(self._on_pause)
+        self.config: ConfigController | None = None
+        self._peers: Peers | None = None
+        self._watcher: PlatformWatcher | None = None
+        for peer in settings.peers:
+            self.link.learn(peer.id, peer.address)
+
+    def attach(self, peers: Peers, config: ConfigController) -> None:
+        """Join the core's heartbeats and configuration with the outside."""
+        self._peers = peers
+        self.config = config
+        self.link.on_message = self._on_message
+        self.link.on_connect = peers.watch
+        self._watcher = PlatformWatcher(
+            self.settings.platform, self.metrics, config.take_snapshot
         )
-        self._wire()
+        self.metrics.gauge("config_revision", lambda: config.store.revision)
+        self.context.events.listen(Event.PEER_CHANGED, _log_peer)
 
     def on_init_dependencies(self) -> list[Service]:
         """Start the link before anything that sends."""
-        return [self.link, self.runner, self.watcher]
-
-    async def on_start(self) -> None:
-        """Subscribe to the timers."""
-        now = clock()
-        self.timers.subscribe(HEARTBEAT_S, self.link.tick, now)
+        return [self.link, self.runner, self._watcher]
 
     async def on_started(self) -> None:
         """Greet the neighbours, who may know a newer revision."""
-        self.link.tick(clock())
-
-    def _wire(self) -> None:
-        self.link.handle(self.config.handlers)
-        self.link.tell_revision(lambda: self.config.store.revision)
-        self.link.on_revision.append(self.config.heard_revision)
-        self.config.on_view.append(self._learn_addresses)
-        self.runner.on_pause.append(lambda gap: self.link.health.reset(clock()))
-        self.metrics.gauge("config_revision", lambda: self.config.store.revision)
         for peer in self.settings.peers:
-            self.link.learn(peer.id, peer.address)
+            self._peers.watch(peer.id)
+        self._peers.tick(clock())
+
+    def _on_message(self, sender: Sender, message: Message) -> None:
+        self._peers.heard(sender)
+        self.context.deliver(sender, message)
+
+    def _on_pause(self, gap: float) -> None:
+        self.context.events.send(Event.PAUSED, gap)
+
 
-    def _learn_addresses(self, view: View) -> None:
-        for name, instance in view.instances.items():
-            self.link.learn(name, instance.address)
+def _log_peer(instance: str, change: Change, incarnation: str) -> None:
+    logger.info("peer changed", extra={"peer": instance, "change": change.value})
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -0,0 +1,66 @@
+"""The agent's decisions, composed; the daemon adds sockets and clocks."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ebonyglade.config.controller import ConfigController
+from ebonyglade.context import Context
+from ebonyglade.events import Event
+from ebonyglade.members.peers import Peers
+from ebonyglade.ports import Engine, ServiceCaller
+from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.slots import SlotTable
+from ebonyglade.worker.worker import Worker
+
+EXPIRE_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLimits:
+    """What the endpoint beside an agent takes.
+
+    Attributes:
+        slots: most jobs at once.
+        pieces: KV pieces that the engine holds.
+        prefill_slots: most prefills at once.
+        lease_s: seconds for which an entry holds a slot without renewal.
+    """
+
+    slots: int = 20
+    pieces: int = 400
+    prefill_slots: int = 1
+    lease_s: float = 3.0
+
+
+class AgentCore:
+    """Runs jobs at one endpoint; embeddable, without any I/O of its own."""
+
+    def __init__(
+        self,
+        context: Context,
+        limits: EndpointLimits,
+        engine: Engine | None = None,
+        service: ServiceCaller | None = None,
+    ) -> None:
+        self.context = context
+        self.peers = Peers(context)
+        self.config = ConfigController(context)
+        self.worker = Worker(
+            engine,
+            service,
+            context.transport,
+            context.clock,
+            SlotTable(limits.slots, limits.pieces, limits.lease_s),
+            limits.prefill_slots,
+        )
+        self.peers.revision = lambda: self.config.store.revision
+        self.peers.on_revision = self.config.heard_revision
+        context.handle(self.worker.handlers)
+        context.every(EXPIRE_S, self.worker.tick)
+
+    def drain(self, known: Callable[[], list[str]]) -> None:
+        """Announce a planned stop and refuse new work."""
+        for instance in known():
+            self.context.send(instance, Leaving())
+        self.worker.drain()
+        self.context.events.send(Event.DRAINING)
--- a/packages/ebonyglade-node/src/ebonyglade_node/configuration.py
+++ b/packages/ebonyglade/src/ebonyglade/config/controller.py
@@ -1,14 +1,14 @@
 """Controller of the configuration in force in one process."""
 
 import logging
-import time
-from collections.abc import Callable
 
 from ebonyglade.audit import AuditRecord, AuditTrail
 from ebonyglade.config.store import ConfigStore
 from ebonyglade.config.view import View, build
-from ebonyglade.ports import Sender, Transport
-from ebonyglade.wire.messages import ConfigAsk, ConfigItem, ConfigPush, Message
+from ebonyglade.context import Context
+from ebonyglade.events import Event
+from ebonyglade.ports import Sender
+from ebonyglade.wire.control import ConfigAsk, ConfigItem, ConfigPush
 
 logger = logging.getLogger(__name__)
 
@@ -20,16 +20,13 @@
     platform does not answer, or answers with an older copy, still catches up.
     """
 
-    def __init__(self, transport: Transport) -> None:
-        self._transport = transport
-        self.audit = AuditTrail(time.time, listener=_log)
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self.audit = AuditTrail(context.wall, listener=_log)
         self.store = ConfigStore(self.audit)
         self._view = View()
-        self.on_view: list[Callable[[View], None]] = []
-        self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
-            ConfigAsk: self._on_ask,
-            ConfigPush: self._on_push,
-        }
+        context.handle({ConfigAsk: self._on_ask, ConfigPush: self._on_push})
+        context.events.listen(Event.VIEW_CHANGED, self._learn_addresses)
 
     @property
     def view(self) -> View:
@@ -48,11 +45,10 @@
     def heard_revision(self, instance: str, revision: int) -> None:
         """Ask a neighbour that knows a newer revision for it."""
         if revision > self.store.revision:
-            self._transport.send(instance, ConfigAsk(self.store.revision))
+            self._context.send(instance, ConfigAsk(self.store.revision))
 
     def _on_ask(self, sender: Sender, message: ConfigAsk) -> None:
-        push = self.store.push_since(message.since)
-        self._transport.send(sender.instance, push)
+        self._context.send(sender.instance, self.store.push_since(message.since))
 
     def _on_push(self, sender: Sender, message: ConfigPush) -> None:
         changed = self.store.apply_push(message)
@@ -62,11 +58,20 @@
         self._refresh(changed)
 
     def _refresh(self, changed: set[str]) -> None:
-        if not changed and self._view.revision == self.store.revision:
+        before = self._view.revision
+        if not changed and before == self.store.revision:
             return
         self._view = build(self.store)
-        for listener in self.on_view:
-            listener(self._view)
+        self._context.invariants.require(
+            self._view.revision >= before,
+            "configuration_never_reverts",
+            f"{before} -> {self._view.revision}",
+        )
+        self._context.events.send(Event.VIEW_CHANGED, self._view)
+
+    def _learn_addresses(self, view: View) -> None:
+        for name, instance in view.instances.items():
+            self._context.transport.learn(name, instance.address)
 
 
 def _log(record: AuditRecord) -> None:
--- a/packages/ebonyglade/src/ebonyglade/config/store.py
+++ b/packages/ebonyglade/src/ebonyglade/config/store.py
@@ -7,7 +7,7 @@
 
 from ebonyglade.audit import AuditTrail, Outcome
 from ebonyglade.config.published import Document, parse
-from ebonyglade.wire.messages import ConfigItem, ConfigPush
+from ebonyglade.wire.control import ConfigItem, ConfigPush
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/context.py
@@ -0,0 +1,87 @@
+"""What the parts of one process share, with the outside world passed in."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ebonyglade.events import Events
+from ebonyglade.invariants import Invariants
+from ebonyglade.ports import Clock, Sender, Transport
+from ebonyglade.timer import Subscription, TimerService
+from ebonyglade.wire.base import Message
+
+Handler = Callable[[Sender, Message], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is.
+
+    Attributes:
+        instance: id, as the platform lists it.
+        incarnation: new at each start of the process.
+        zone: availability zone.
+        region: region of the zone.
+    """
+
+    instance: str
+    incarnation: str
+    zone: str = ""
+    region: str = ""
+
+
+def _ignore(name: str, by: float = 1) -> None:
+    """Drop a count where nobody collects metrics."""
+
+
+@dataclass(slots=True)
+class Context:
+    """Shared by all parts of one process.
+
+    Attributes:
+        me: who this process is.
+        transport: sends messages to other instances.
+        clock: monotonic seconds; runs on during a pause.
+        wall: seconds of the wall clock, for logs and audit only.
+        rng: source of randomness.
+        count: adds to a named counter.
+        timers: calls subscribers at their intervals.
+        events: named events that parts hook into.
+        invariants: assertions of what must always hold.
+        handlers: handler of each message type.
+    """
+
+    me: Identity
+    transport: Transport
+    clock: Clock
+    wall: Clock
+    rng: random.Random
+    count: Callable[..., None] = _ignore
+    timers: TimerService = field(default_factory=TimerService)
+    events: Events = field(default_factory=Events)
+    invariants: Invariants = field(default_factory=Invariants)
+    handlers: dict[type[Message], Handler] = field(default_factory=dict)
+
+    def handle(self, handlers: dict[type[Message], Handler]) -> None:
+        """Add handlers by message type."""
+        self.handlers.update(handlers)
+
+    def every(self, interval: float, callback: Callable[[float], None]) -> Subscription:
+        """Call `callback(now)` every `interval` seconds."""
+        return self.timers.subscribe(interval, callback, self.clock())
+
+    def send(self, instance: str, message: Message) -> bool:
+        """Queue a message to an instance."""
+        return self.transport.send(instance, message)
+
+    def new_id(self) -> str:
+        """Return an id that is unique over the fleet and time."""
+        return f"{self.rng.getrandbits(96):024x}"
+
+    def deliver(self, sender: Sender, message: Message) -> None:
+        """Hand a message to its handler; unhandled types are counted."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            self.count("messages_unhandled")
+            return
+        handler(sender, message)
--- a/packages/ebonyglade/src/ebonyglade/dispatch/exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/exchange.py
@@ -5,7 +5,8 @@
 
 from ebonyglade.ports import Sender, Transport
 from ebonyglade.verdict import Verdict, refuse
-from ebonyglade.wire.messages import Cancel, Failed, Message
+from ebonyglade.wire.base import Message
+from ebonyglade.wire.work import Cancel, Failed
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/dispatch/models.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/models.py
@@ -1,61 +1,30 @@
-"""Model requests: reserve a decode slot, prefill, decode and stream."""
+"""Model requests: attempts at pairs of endpoints until the answer is whole."""
 
 import asyncio
-import random
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from ebonyglade.calls import Call, Reply, StreamFailed, TokenStream
-from ebonyglade.dispatch.choice import Inflight, choose
-from ebonyglade.dispatch.exchange import Attempt, Exchange
-from ebonyglade.dispatch.waiting import wait_for
+from ebonyglade.dispatch.attempts import PairAttempts, Progress
 from ebonyglade.ports import Clock
-from ebonyglade.verdict import Refusal, Verdict, refuse
-from ebonyglade.wire.messages import (
-    Chunk,
-    Credit,
-    Decode,
-    Done,
-    Message,
-    Prefill,
-    Prefilled,
-    Reserve,
-    Reserved,
-)
+from ebonyglade.verdict import Refusal, Verdict
 
-PIECE_TOKENS = 2048  # tokens in one piece of engine memory
-CREDIT_TOKENS = 256  # tokens that an agent may send ahead of the caller
-RESERVE_TIMEOUT_S = 1.0
-CHUNK_TIMEOUT_S = 5.0
 MAX_ATTEMPTS = 4
 RETRY_PAUSE_S = 0.02
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What the caller has and what was tried."""
-
-    tokens: list[str] = field(default_factory=list)
-    prompt_tokens: int = 0
-    excluded: set[str] = field(default_factory=set)
-    attempts: int = 0
-
-
 @dataclass(slots=True)
 class ModelDispatcher:
-    """Runs model requests over pairs of prefill and decode agents."""
+    """Runs model requests; goes on at another pair after a failure."""
 
-    exchange: Exchange
-    inflight: Inflight
+    attempts: PairAttempts
     clock: Clock
-    rng: random.Random
-    new_id: Callable[[], str]
 
     async def run(self, call: Call) -> Reply:
         """Start a request; Ok once the first tokens are there."""
-        progress = _Progress()
+        progress = Progress()
         stream = self._stream(call, progress)
         try:
             first = await anext(stream)
@@ -65,14 +34,12 @@
             return Err(failure.refusal)
         return Ok(TokenStream(_rejoin(first, stream), progress.prompt_tokens))
 
-    async def _stream(
-        self, call: Call, progress: _Progress
-    ) -> AsyncIterator[list[str]]:
+    async def _stream(self, call: Call, progress: Progress) -> AsyncIterator[list[str]]:
         """Yield the answer, going on at another endpoint after a failure."""
         while True:
             progress.attempts += 1
             try:
-                async for tokens in self._attempt(call, progress):
+                async for tokens in self.attempts.run(call, progress):
                     progress.tokens.extend(tokens)
                     yield tokens
                 return
@@ -81,162 +48,13 @@
                     raise StreamFailed(_truthful(failure.refusal, progress)) from None
             await asyncio.sleep(RETRY_PAUSE_S * progress.attempts)
 
-    def _may_retry(self, call: Call, progress: _Progress, refusal: Refusal) -> bool:
+    def _may_retry(self, call: Call, progress: Progress, refusal: Refusal) -> bool:
         if progress.attempts >= MAX_ATTEMPTS or self.clock() >= call.deadline:
             return False
         return refusal.status >= 500
 
-    async def _attempt(
-        self, call: Call, progress: _Progress
-    ) -> AsyncIterator[list[str]]:
-        """Yield the rest of the answer from one pair of endpoints."""
-        pool = call.route.route.pool
-        decode_name = self._choose(call, pool, "decode", progress)
-        prefill_name = self._choose(call, pool, "prefill", progress)
-        decode = self._open(decode_name)
-        try:
-            await self._reserve(call, progress, decode)
-            source = await self._prefill(call, progress, prefill_name)
-            async for tokens in self._decode(call, progress, decode, source):
-                yield tokens
-        finally:
-            self._close(decode)
-
-    def _choose(self, call: Call, pool: str, stage: str, progress: _Progress) -> str:
-        name = choose(
-            call.view, pool, stage, self.inflight, progress.excluded, self.rng
-        )
-        if name is None:
-            raise StreamFailed(refuse("no_endpoint"))
-        return name
-
-    def _open(self, instance: str) -> Attempt:
-        self.inflight.counts[instance] += 1
-        return self.exchange.open(self.new_id(), instance)
-
-    def _close(self, attempt: Attempt) -> None:
-        self.inflight.counts[attempt.instance] -= 1
-        self.exchange.close(attempt)
-
-    async def _reserve(self, call: Call, progress: _Progress, decode: Attempt) -> None:
-        """Hold a decode slot before any prefill is spent."""
-        tokens = call.prompt.tokens + call.max_tokens
-        within = min(RESERVE_TIMEOUT_S, self._left(call))
-        request = Reserve(
-            decode.id,
-            call.workspace,
-            -(-tokens // PIECE_TOKENS),
-            within,
-            priority=call.route.route.priority,
-        )
-        # Nothing runs before the slot is held, so a lost answer is still NOT_RUN.
-        silent = refuse("endpoint_down")
-        await self._ask(decode, request, within, silent, Reserved, progress)
-
-    async def _prefill(self, call: Call, progress: _Progress, name: str) -> Prefilled:
-        attempt = self._open(name)
-        try:
-            within = self._left(call)
-            request = Prefill(
-                attempt.id, call.workspace, call.prompt.model, call.prompt.text, within
-            )
-            silent = refuse("deadline_exceeded")
-            answer = await self._ask(
-                attempt, request, within, silent, Prefilled, progress
-            )
-            progress.prompt_tokens = answer.tokens
-            # The export lives on in the engine until it is imported or evicted.
-            attempt.ended = True
-            return answer
-        finally:
-            self._close(attempt)
-
-    async def _ask(
-        self,
-        attempt: Attempt,
-        request: Message,
-        within: float,
-        silent: Refusal,
-        expected: type[Message],
-        progress: _Progress,
-    ) -> Message:
-        if not self.exchange.send(attempt, request):
-            progress.excluded.add(attempt.instance)
-            raise StreamFailed(refuse("endpoint_down"))
-        answer = await wait_for(attempt, within, silent)
-        return self._expect(answer, expected, attempt, progress)
-
-    def _expect(
-        self,
-        answer: Result[Message, Refusal],
-        expected: type[Message] | tuple[type[Message], ...],
-        attempt: Attempt,
-        progress: _Progress,
-    ) -> Message:
-        if isinstance(answer, Err):
-            progress.excluded.add(attempt.instance)
-            raise StreamFailed(answer.err_value)
-        if not isinstance(answer.ok_value, expected):
-            raise StreamFailed(refuse("internal", message="Unexpected answer."))
-        return answer.ok_value
-
-    async def _decode(
-        self, call: Call, progress: _Progress, decode: Attempt, source: Prefilled
-    ) -> AsyncIterator[list[str]]:
-        request = Decode(
-            decode.id,
-            call.workspace,
-            call.prompt.model,
-            call.prompt.text,
-            source.source,
-            source.handle,
-            call.max_tokens,
-            self._left(call),
-            resume=list(progress.tokens),
-            priority=call.route.route.priority,
-        )
-        self.exchange.send(decode, request)
-        while True:
-            within = min(CHUNK_TIMEOUT_S, self._left(call))
-            answer = await wait_for(decode, within, self._silence(call))
-            message = self._expect(answer, (Chunk, Done), decode, progress)
-            if isinstance(message, Done):
-                decode.ended = True
-                _check_whole(message, progress)
-                return
-            tokens = _fresh(message, progress)
-            if tokens:
-                yield tokens
-                self.exchange.send(
-                    decode, Credit(decode.id, len(progress.tokens) + CREDIT_TOKENS)
-                )
-
-    def _silence(self, call: Call) -> Refusal:
-        if self._left(call) <= CHUNK_TIMEOUT_S:
-            return refuse("deadline_exceeded")
-        return refuse("agent_lost")
-
-    def _left(self, call: Call) -> float:
-        left = call.deadline - self.clock()
-        if left <= 0:
-            raise StreamFailed(refuse("deadline_exceeded"))
-        return left
-
-
-def _fresh(chunk: Chunk, progress: _Progress) -> list[str]:
-    """Return the tokens of a chunk that the caller does not have yet."""
-    have = len(progress.tokens)
-    if chunk.index > have:
-        raise StreamFailed(refuse("agent_lost", message="Tokens were lost."))
-    return chunk.tokens[have - chunk.index :]
-
-
-def _check_whole(done: Done, progress: _Progress) -> None:
-    if done.total != len(progress.tokens):
-        raise StreamFailed(refuse("agent_lost", message="Tokens were lost."))
-
 
-def _truthful(refusal: Refusal, progress: _Progress) -> Refusal:
+def _truthful(refusal: Refusal, progress: Progress) -> Refusal:
     """Return a refusal that says that tokens were already generated."""
     if progress.tokens:
         return refusal.because(verdict=Verdict.RAN)
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -7,13 +7,14 @@
 from result import Err, Ok, Result
 
 from ebonyglade.calls import Call, Reply, WholeAnswer
+from ebonyglade.dispatch.attempts import RESERVE_TIMEOUT_S
 from ebonyglade.dispatch.choice import Inflight, choose
 from ebonyglade.dispatch.exchange import Attempt, Exchange
-from ebonyglade.dispatch.models import MAX_ATTEMPTS, RESERVE_TIMEOUT_S
+from ebonyglade.dispatch.models import MAX_ATTEMPTS
 from ebonyglade.dispatch.waiting import wait_for
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, Verdict, refuse
-from ebonyglade.wire.messages import Reserve, Reserved, Serve, Served
+from ebonyglade.wire.work import Reserve, Reserved, Serve, Served
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/dispatch/waiting.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/waiting.py
@@ -6,7 +6,8 @@
 
 from ebonyglade.dispatch.exchange import Attempt
 from ebonyglade.verdict import REFUSALS, Refusal, Verdict, refuse
-from ebonyglade.wire.messages import Failed, Message
+from ebonyglade.wire.base import Message
+from ebonyglade.wire.work import Failed
 
 
 async def wait_for(
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -0,0 +1,94 @@
+"""The entry's decisions, composed; the daemon adds sockets and clocks."""
+
+from ebonyglade.calls import Call, Chain, Reply
+from ebonyglade.config.controller import ConfigController
+from ebonyglade.context import Context
+from ebonyglade.dispatch.attempts import PairAttempts
+from ebonyglade.dispatch.choice import Inflight
+from ebonyglade.dispatch.exchange import Exchange
+from ebonyglade.dispatch.filters import check_size, find_route, identify
+from ebonyglade.dispatch.models import ModelDispatcher
+from ebonyglade.dispatch.services import ServiceDispatcher
+from ebonyglade.events import Event
+from ebonyglade.members.health import Change
+from ebonyglade.members.peers import Peers
+from ebonyglade.ports import Sender
+from ebonyglade.wire.base import Message
+from ebonyglade.wire.control import Leaving
+from ebonyglade.wire.work import (
+    Chunk,
+    Done,
+    Failed,
+    Prefilled,
+    Renew,
+    Reserved,
+    Served,
+)
+
+RENEW_S = 0.5
+ANSWERS = (Reserved, Prefilled, Chunk, Done, Served, Failed)
+
+
+class EntryCore:
+    """Runs calls over agents; embeddable, without any I/O of its own."""
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.peers = Peers(context)
+        self.config = ConfigController(context)
+        self.exchange = Exchange(context.transport)
+        self.inflight = Inflight()
+        parts = (self.exchange, self.inflight, context.clock, context.rng)
+        pairs = PairAttempts(*parts, context.new_id)
+        self.models = ModelDispatcher(pairs, context.clock)
+        self.services = ServiceDispatcher(*parts, context.new_id)
+        self.run = Chain([identify, find_route, check_size]).around(self._dispatch)
+        self._wire()
+
+    async def _dispatch(self, call: Call) -> Reply:
+        dispatcher = self.services if call.prompt is None else self.models
+        return await dispatcher.run(call)
+
+    def _wire(self) -> None:
+        self.peers.revision = lambda: self.config.store.revision
+        self.peers.on_revision = self.config.heard_revision
+        self.context.handle(dict.fromkeys(ANSWERS, self.exchange.deliver))
+        self.context.handle({Leaving: self._on_leaving})
+        self.context.events.listen(Event.PEER_CHANGED, self._on_peer_changed)
+        self.context.every(RENEW_S, self._renew)
+
+    def _on_leaving(self, sender: Sender, message: Message) -> None:
+        self.inflight.avoid.add(sender.instance)
+
+    def _on_peer_changed(self, instance: str, change: Change, incarnation: str) -> None:
+        _PEER_EFFECTS[change](self, instance, incarnation)
+
+    def _suspect(self, instance: str, incarnation: str) -> None:
+        self.inflight.avoid.add(instance)
+
+    def _lost(self, instance: str, incarnation: str) -> None:
+        self.inflight.avoid.add(instance)
+        self.exchange.peer_lost(instance)
+
+    def _back(self, instance: str, incarnation: str) -> None:
+        self.inflight.avoid.discard(instance)
+
+    def _restarted(self, instance: str, incarnation: str) -> None:
+        self.inflight.avoid.discard(instance)
+        self.exchange.peer_lost(instance, incarnation)
+
+    def _renew(self, now: float) -> None:
+        by_agent: dict[str, list[str]] = {}
+        for attempt in self.exchange.open_attempts.values():
+            by_agent.setdefault(attempt.instance, []).append(attempt.id)
+        for instance, attempts in by_agent.items():
+            self.peers.watch(instance)
+            self.context.send(instance, Renew(attempts))
+
+
+_PEER_EFFECTS = {
+    Change.SUSPECT: EntryCore._suspect,
+    Change.LOST: EntryCore._lost,
+    Change.BACK: EntryCore._back,
+    Change.RESTARTED: EntryCore._restarted,
+}
--- a/packages/ebonyglade/src/ebonyglade/ports.py
+++ b/packages/ebonyglade/src/ebonyglade/ports.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ebonyglade.wire.messages import Message
+from ebonyglade.wire.base import Message
 
 Clock = Callable[[], float]
 """Returns monotonic seconds."""
@@ -26,6 +26,14 @@
         """Queue a message; False if the instance is unknown or its queue is full."""
         ...
 
+    def learn(self, instance: str, address: str) -> None:
+        """Remember where an instance takes messages."""
+        ...
+
+    def reconnect(self, instance: str) -> None:
+        """Drop the connection to an instance; the next message opens a new one."""
+        ...
+
 
 class Engine(Protocol):
     """What an agent needs from the model engine beside it."""
--- a/packages/ebonyglade/src/ebonyglade/wire/messages.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -1,63 +1,8 @@
-"""Typed messages between the system's own processes.
-
-Every field added later has a default, so that fleets of mixed versions
-understand each other; a message type that a process does not know is counted
-and dropped by the codec.
-"""
+"""Messages about requests under way."""
 
 from typing import Literal
 
-import msgspec
-
-
-class Message(msgspec.Struct, frozen=True, tag_field="t", omit_defaults=True):
-    """Base of all messages; the class name is the tag on the wire."""
-
-
-class Ping(Message, frozen=True):
-    """Heartbeat: asks for a `Pong` and tells the newest revision seen."""
-
-    seq: int
-    revision: int = 0
-
-
-class Pong(Message, frozen=True):
-    """Answer to a `Ping`."""
-
-    seq: int
-    revision: int = 0
-
-
-class ConfigAsk(Message, frozen=True):
-    """Asks for all configuration newer than `since`."""
-
-    since: int
-
-
-class ConfigItem(msgspec.Struct, frozen=True, array_like=True):
-    """One path as published: its revision and TOML text."""
-
-    path: str
-    revision: int
-    value: str
-
-
-class ConfigPush(Message, frozen=True):
-    """Hands on configuration between two revisions.
-
-    Attributes:
-        since: the items are complete for all changes after this revision.
-        revision: newest revision that the sender has.
-        items: newest published value of each changed path.
-        removed: paths removed after `since`, with the revision of removal.
-        good: last valid value of each path whose newest value is invalid.
-    """
-
-    since: int
-    revision: int
-    items: list[ConfigItem] = []
-    removed: list[tuple[str, int]] = []
-    good: list[ConfigItem] = []
+from ebonyglade.wire.base import Message
 
 
 class Reserve(Message, frozen=True):
@@ -201,46 +146,18 @@
     attempts: list[str]
 
 
-class Load(Message, frozen=True):
-    """An agent's load as told to the entries that use it.
-
-    Attributes:
-        running: jobs in the engine.
-        waiting: jobs queued at the agent.
-        slots: most jobs that the engine takes.
-        free_pieces: free KV pieces.
-        draining: whether new work is refused.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    free_pieces: int
-    draining: bool = False
-
-
-class Leaving(Message, frozen=True):
-    """The sender stops soon and takes no new work."""
-
-
-AnyMessage = (
-    Ping
-    | Pong
-    | ConfigAsk
-    | ConfigPush
-    | Reserve
-    | Reserved
-    | Prefill
-    | Prefilled
-    | Decode
-    | Chunk
-    | Done
-    | Credit
-    | Serve
-    | Served
-    | Failed
-    | Cancel
-    | Renew
-    | Load
-    | Leaving
+MESSAGES = (
+    Reserve,
+    Reserved,
+    Prefill,
+    Prefilled,
+    Decode,
+    Chunk,
+    Done,
+    Credit,
+    Serve,
+    Served,
+    Failed,
+    Cancel,
+    Renew,
 )
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -15,14 +15,14 @@
     Transport,
 )
 from ebonyglade.verdict import Verdict, refuse
-from ebonyglade.wire.messages import (
+from ebonyglade.wire.base import Message
+from ebonyglade.wire.work import (
     Cancel,
     Chunk,
     Credit,
     Decode,
     Done,
     Failed,
-    Message,
     Prefill,
     Prefilled,
     Renew,
