Run the fleet as separate processes and stop each in turn under load

Cause: the whole path was only seen in one process. Change: the lab writes settings for a planned fleet and runs its stand-ins; a test starts 12 processes and the stand-ins, stops and restarts each in turn under 12 callers.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -3,10 +3,12 @@
 import asyncio
 import logging
 import sys
+from pathlib import Path
 
 import fire
 
-from ebonyglade_lab import demo
+from ebonyglade_lab import demo, deployment, operator
+from ebonyglade_lab.fleet import KEY, FleetSize
 
 
 class Commands:
@@ -20,6 +22,59 @@
         if not report.good:
             sys.exit(1)
 
+    def plan(self, directory: str, base_port: int = 7400) -> None:
+        """Write settings for a fleet of separate processes on loopback.
+
+        Args:
+            directory: where the settings files go.
+            base_port: first of the ports to use.
+        """
+        plan = deployment.make_plan(FleetSize(), base_port)
+        deployment.write_plan(plan, Path(directory))
+        print(f"python -m ebonyglade_lab standins {directory}")
+        for item in plan.instances:
+            program = f"ebonyglade-{item.role}"
+            print(f"{program} run --settings {directory}/{item.name}.toml")
+
+    def standins(self, directory: str) -> None:
+        """Run the stand-ins of a planned fleet until interrupted.
+
+        Args:
+            directory: where `plan` wrote the settings files.
+        """
+        plan = deployment.read_plan(Path(directory))
+        asyncio.run(deployment.run_standins(plan))
+
+    def publish(self, directory: str, path: str, file: str) -> None:
+        """Publish a TOML file on the platform's stand-in.
+
+        Args:
+            directory: where `plan` wrote the settings files.
+            path: configuration path, such as teams/aula/workspaces/physics.
+            file: the document.
+        """
+        plan = deployment.read_plan(Path(directory))
+        operator.publish(plan, path, Path(file).read_bytes())
+
+    def remove(self, directory: str, path: str) -> None:
+        """Remove a path from the platform's stand-in.
+
+        Args:
+            directory: where `plan` wrote the settings files.
+            path: configuration path.
+        """
+        operator.remove(deployment.read_plan(Path(directory)), path)
+
+    def ask(self, directory: str, prompt: str, key: str = KEY) -> None:
+        """Send one prompt to the first entry and print the answer.
+
+        Args:
+            directory: where `plan` wrote the settings files.
+            prompt: the prompt.
+            key: the caller's key.
+        """
+        print(operator.ask(deployment.read_plan(Path(directory)), prompt, key))
+
 
 def main() -> None:
     """Run the command line."""
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
@@ -34,7 +34,10 @@
         self._frozen: tuple[int, dict[str, _Row]] | None = None
         self.silent = False
         self.calls = 0
-        self.app.router.add_get("/v1/kv/{path:.*}", self._get)
+        router = self.app.router
+        router.add_get("/v1/kv/{path:.*}", self._get)
+        router.add_put("/v1/kv/{path:.*}", self._put)
+        router.add_delete("/v1/kv/{path:.*}", self._delete)
 
     @property
     def revision(self) -> int:
@@ -87,6 +90,18 @@
             headers={"X-Consul-Index": str(revision)},
         )
 
+    async def _put(self, request: web.Request) -> web.Response:
+        """Take an operator's edit; the system itself never writes."""
+        self.put(self._path(request), await request.text())
+        return web.json_response(True)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self.delete(self._path(request))
+        return web.json_response(True)
+
+    def _path(self, request: web.Request) -> str:
+        return request.match_info["path"].removeprefix(self._prefix + "/")
+
     async def _wait(self, index: int, longest: float) -> None:
         try:
             async with asyncio.timeout(longest):
--- /dev/null
+++ b/tests/helpers/processes.py
@@ -0,0 +1,104 @@
+"""Real processes of a planned fleet, for tests and measurements."""
+
+import contextlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ebonyglade_lab.deployment import Plan, Planned, make_plan, write_plan
+from ebonyglade_lab.fleet import FleetSize, free_port
+
+HANG_S = 60.0  # a guard against hanging, not a bound that is measured
+
+
+@dataclass(slots=True)
+class Processes:
+    """A fleet as processes of their own, stand-ins in one more.
+
+    Attributes:
+        plan: ports and names.
+        directory: settings and logs.
+        running: processes by instance id.
+    """
+
+    plan: Plan
+    directory: Path
+    running: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def start_all(self) -> None:
+        """Start the stand-ins, then agents and entries, and wait for them."""
+        self._spawn("standins", "ebonyglade_lab", "standins", str(self.directory))
+        for item in self.plan.instances:
+            self.start(item)
+        for item in self.plan.instances:
+            wait_for_url(item.status_url + "/healthz")
+        for item in self.plan.of_role("entry"):
+            wait_for_url(item.url + "/readyz")
+
+    def start(self, item: Planned) -> None:
+        """Start one instance."""
+        settings = str(self.directory / f"{item.name}.toml")
+        module = f"ebonyglade_{item.role}"
+        self._spawn(item.name, module, "run", "--settings", settings)
+
+    def stop(self, name: str) -> int:
+        """Stop one process gracefully and return its exit code."""
+        process = self.running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(HANG_S)
+
+    def kill(self, name: str) -> None:
+        """End one process at once."""
+        process = self.running.pop(name)
+        process.kill()
+        process.wait(HANG_S)
+
+    def stop_all(self) -> None:
+        """End everything that still runs."""
+        for process in self.running.values():
+            process.kill()
+        for process in self.running.values():
+            process.wait(HANG_S)
+        self.running.clear()
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.directory / f"{name}.log").read_text()
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                env={"PYTHONPATH": ":".join(sys.path), "PATH": "/usr/bin:/bin"},
+            )
+
+
+def new_processes(
+    directory: Path, size: FleetSize, settings: dict | None = None
+) -> Processes:
+    """Write the settings of a fleet on free ports; nothing is started."""
+    plan = make_plan(size, _free_base())
+    write_plan(plan, directory, settings)
+    return Processes(plan, directory)
+
+
+def wait_for_url(url: str) -> None:
+    """Wait until an address answers with success."""
+    until = time.monotonic() + HANG_S
+    while True:
+        with contextlib.suppress(OSError), urllib.request.urlopen(url):
+            return
+        if time.monotonic() > until:
+            raise TimeoutError(url)
+        time.sleep(0.05)
+
+
+def _free_base() -> int:
+    """Return the first of a run of ports below the ephemeral range."""
+    return 10_000 + (free_port() * 7) % 20_000
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,64 @@
+import asyncio
+
+import aiohttp
+import pytest
+
+from ebonyglade_lab import demo
+from ebonyglade_lab.fleet import FleetSize
+from ebonyglade_lab.standins.answers import answer_tokens
+from helpers.processes import new_processes, wait_for_url
+
+STOPS = {"http": {"leave_s": 0.3}, "endpoint": {"leave_s": 0.5}}
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    size = FleetSize(entries=2, prefill=4, decode=4, service=2)
+    processes = new_processes(tmp_path, size, STOPS)
+    try:
+        processes.start_all()
+        yield processes
+    finally:
+        processes.stop_all()
+
+
+def expected(prompts):
+    return ["".join(answer_tokens(text, demo.MAX_TOKENS)) for text in prompts]
+
+
+async def test_stopping_each_process_in_turn_under_load_loses_no_request(fleet):
+    """The balancer sends to an entry only while it is ready."""
+    entries = fleet.plan.of_role("entry")
+    ready = {item.name: item.url for item in entries}
+    failures, answered, done = [], [], asyncio.Event()
+
+    async def caller(number):
+        async with aiohttp.ClientSession() as session:
+            turn = 0
+            while not done.is_set():
+                text = f"caller {number} turn {turn}"
+                urls = list(ready.values())
+                url = urls[(number + turn) % len(urls)]
+                try:
+                    answer = await demo.ask(session, url, text)
+                except (ValueError, aiohttp.ClientError) as error:
+                    failures.append(f"{text}: {error!r}")
+                else:
+                    assert [answer] == expected([text])
+                    answered.append(text)
+                turn += 1
+
+    callers = [asyncio.ensure_future(caller(number)) for number in range(12)]
+    for item in fleet.plan.instances:
+        ready.pop(item.name, None)
+        code = await asyncio.to_thread(fleet.stop, item.name)
+        assert code == 0, fleet.log(item.name)
+        fleet.start(item)
+        await asyncio.to_thread(wait_for_url, item.status_url + "/healthz")
+        if item.role == "entry":
+            await asyncio.to_thread(wait_for_url, item.url + "/readyz")
+            ready[item.name] = item.url
+    done.set()
+    await asyncio.gather(*callers)
+    assert not failures, failures[:5]
+    assert len(answered) > 50
