Refuse truthfully on every HTTP edge and pass services through unchanged

Cause: paths with dot segments could reach a guarded route through an open one, large headers and slow callers had no limit, a stopping entry had no closed door, and the agent's HTTP client added headers of its own. Change: ambiguous paths, oversize headers and bodies and late requests are refused with code, verdict and request id; a doorkeeper orders a planned stop; the agent limits answers and adds no headers. Callers may use TLS.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from yarl import URL
 
 from ebonyglade.ports import (
     DecodeJob,
@@ -19,6 +20,9 @@
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
 TOKEN_TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Headers that the HTTP library would add where the caller sent none.
+ADDED_BY_LIBRARY = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -125,12 +129,13 @@
         try:
             async with self.session.request(
                 method,
-                self.url + path,
+                URL(self.url + path, encoded=True),
                 headers=headers,
                 data=body or None,
                 allow_redirects=False,
+                skip_auto_headers=ADDED_BY_LIBRARY,
             ) as answer:
-                content = await answer.read()
+                content = await _whole_body(answer)
                 received = [
                     (str(name), value) for name, value in answer.headers.items()
                 ]
@@ -139,6 +144,18 @@
             raise _as_engine_error(error) from error
 
 
+async def _whole_body(answer: aiohttp.ClientResponse) -> bytes:
+    """Return an answer's body; one that is too large was still executed."""
+    chunks = []
+    size = 0
+    async for chunk in answer.content.iter_any():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise EngineError("The endpoint's answer is too large.")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 async def _check(answer: aiohttp.ClientResponse) -> None:
     if answer.status == 200:
         return
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
@@ -2,26 +2,26 @@
 
 import asyncio
 import logging
-import math
 import secrets
+import ssl
 from collections.abc import AsyncIterator
 
 from aiohttp import web
 from mode import Service
 from result import Err, Ok, Result
 
-from ebonyglade.calls import Call, Proceed, StreamFailed, TokenStream, WholeAnswer
+from ebonyglade.calls import Call, Proceed, StreamFailed, TokenStream
 from ebonyglade.verdict import Refusal, refuse
-from ebonyglade_entry import completions, headers
+from ebonyglade_entry import completions, headers, paths, responses
 from ebonyglade_entry.completions import SHAPES, Asked, Writer
+from ebonyglade_entry.doorkeeper import Door, Doorkeeper
 from ebonyglade_entry.settings import HttpSection
 from ebonyglade_node.runtime import Node, clock
 
 logger = logging.getLogger(__name__)
 
 REQUEST_ID_BYTES = 12
-REQUEST_ID_HEADER = "X-Request-Id"
-VERDICT_HEADER = "X-Ebonyglade-Verdict"
+PARSER_MARGIN = 4  # the parser's own limit, as a multiple of the header limit
 
 
 class HttpServer(Service):
@@ -33,62 +33,46 @@
         self._node = node
         self._run = run
         self._runner: web.AppRunner | None = None
-        self._open = 0
-        self._stopping = False
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self.doorkeeper = Doorkeeper(section.leave_s, section.drain_s)
 
     @property
     def port(self) -> int:
         """TCP port that callers use, once started."""
         return self._runner.addresses[0][1]
 
-    @property
-    def open_requests(self) -> int:
-        """Requests under way."""
-        return self._open
-
     async def on_start(self) -> None:
         """Open the door to callers."""
         app = web.Application(client_max_size=self._section.max_body_bytes)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
         app.router.add_route("*", "/{path:.*}", self._serve)
+        parser_limit = self._section.max_header_bytes * PARSER_MARGIN
         self._runner = web.AppRunner(
             app,
             access_log=None,
-            max_line_size=self._section.max_header_bytes,
-            max_field_size=self._section.max_header_bytes,
+            max_line_size=parser_limit,
+            max_field_size=parser_limit,
             handler_cancellation=True,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._section.host, self._section.port)
+        site = web.TCPSite(
+            self._runner,
+            self._section.host,
+            self._section.port,
+            ssl_context=_tls(self._section),
+        )
         await site.start()
 
     async def on_stop(self) -> None:
-        """Close the door after all answers under way."""
+        """Stop listening."""
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def drain(self) -> None:
-        """Tell the balancer, wait for it, then finish every answer under way.
-
-        Requests that still arrive are served: the balancer takes seconds to
-        notice, and refusing them would cut them off.
-        """
-        self._stopping = True
-        await asyncio.sleep(self._section.leave_s)
-        try:
-            async with asyncio.timeout(self._section.drain_s):
-                await self._idle.wait()
-        except TimeoutError:
-            logger.error("answers were cut off", extra={"open": self._open})
-
     async def _health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
     async def _ready(self, request: web.Request) -> web.Response:
-        if self._stopping:
+        if self.doorkeeper.door is not Door.OPEN:
             return web.Response(status=503, text="stopping\n")
         if not self._node.config.ready:
             return web.Response(status=503, text="starting\n")
@@ -97,33 +81,36 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
         started = clock()
-        self._enter()
+        self.doorkeeper.enter()
         try:
             response = await self._guarded(request, request_id, started)
             self._note(request, request_id, started, response.status)
             return response
         finally:
-            self._leave()
+            self.doorkeeper.leave()
 
     async def _guarded(
         self, request: web.Request, request_id: str, started: float
     ) -> web.StreamResponse:
         """Answer even where the program has a bug."""
         try:
-            return await self._answer(request, request_id, started)
+            response = await self._answer(request, request_id, started)
         except ConnectionError:
             raise
         except Exception:
             logger.exception("request failed", extra={"request": request_id})
-            return self._refuse(refuse("internal"), request_id)
+            response = self._refuse(refuse("internal"), request_id)
+        if self.doorkeeper.door is not Door.OPEN and not response.prepared:
+            # A caller on a kept-alive connection goes to another entry.
+            response.force_close()
+        return response
 
     async def _answer(
         self, request: web.Request, request_id: str, started: float
     ) -> web.StreamResponse:
-        if self._open > self._section.max_connections:
-            return self._refuse(refuse("overloaded"), request_id)
-        if not self._node.config.ready:
-            return self._refuse(refuse("starting"), request_id)
+        refusal = self._at_the_door(request)
+        if refusal is not None:
+            return self._refuse(refusal, request_id)
         body = await self._body(request)
         if isinstance(body, Err):
             return self._refuse(body.err_value, request_id)
@@ -138,6 +125,22 @@
         writer = Writer(shape, request_id, call.prompt.model)
         return await self._tokens(request, call, asked.ok_value, writer)
 
+    def _at_the_door(self, request: web.Request) -> Refusal | None:
+        """Return why a request is refused before its body is read."""
+        size = sum(len(name) + len(value) for name, value in request.raw_headers)
+        checks = (
+            (self.doorkeeper.door is Door.CLOSED, "stopping"),
+            (not self._node.config.ready, "starting"),
+            (self.doorkeeper.open_requests > self._section.max_requests, "overloaded"),
+            (size > self._section.max_header_bytes, "headers_too_large"),
+            (not paths.is_plain(request.raw_path), "path_invalid"),
+            (
+                (request.content_length or 0) > self._section.max_body_bytes,
+                "body_too_large",
+            ),
+        )
+        return next((refuse(code) for failed, code in checks if failed), None)
+
     async def _body(self, request: web.Request) -> Result[bytes, Refusal]:
         try:
             async with asyncio.timeout(self._section.body_timeout_s):
@@ -166,14 +169,7 @@
         reply = await self._run(call)
         if isinstance(reply, Err):
             return self._refuse(reply.err_value, call.id)
-        answer: WholeAnswer = reply.ok_value
-        response = web.Response(status=answer.status, body=answer.body)
-        # An endpoint's own Content-Type replaces the default, repeated ones stay.
-        response.headers.popall("Content-Type", None)
-        for name, value in headers.passed_back(answer.headers):
-            response.headers.add(name, value)
-        response.headers[REQUEST_ID_HEADER] = call.id
-        return response
+        return responses.passed_through(reply.ok_value, call.id)
 
     async def _tokens(
         self, request: web.Request, call: Call, asked: Asked, writer: Writer
@@ -192,21 +188,25 @@
         document = writer.whole(
             "".join(tokens), stream.prompt_tokens, len(tokens), reason
         )
-        return web.json_response(document, headers={REQUEST_ID_HEADER: call.id})
+        request_id = {responses.REQUEST_ID_HEADER: call.id}
+        return web.json_response(document, headers=request_id)
 
     async def _streamed(
         self, request: web.Request, call: Call, stream: TokenStream, writer: Writer
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-store",
-                REQUEST_ID_HEADER: call.id,
-            }
-        )
+        response = responses.event_stream(call.id)
         await response.prepare(request)
-        async for event in self._events(call, stream, writer):
-            await response.write(event)
+        events = self._events(call, stream, writer)
+        try:
+            async for event in events:
+                # A caller that takes nothing must not hold a slot for ever.
+                async with asyncio.timeout(self._section.write_timeout_s):
+                    await response.write(event)
+        except TimeoutError:
+            self._node.metrics.count("callers_too_slow")
+            request.transport.abort()
+        finally:
+            await events.aclose()
         await response.write_eof()
         return response
 
@@ -231,16 +231,7 @@
 
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         self._node.metrics.count(f"refused_{refusal.code}")
-        response = web.json_response(
-            completions.failure(refusal, request_id), status=refusal.status
-        )
-        response.headers[REQUEST_ID_HEADER] = request_id
-        response.headers[VERDICT_HEADER] = refusal.verdict.value
-        if refusal.retry_after is not None:
-            response.headers["Retry-After"] = str(math.ceil(refusal.retry_after))
-        if refusal.status == 401:
-            response.headers["WWW-Authenticate"] = "Bearer"
-        return response
+        return responses.refused(refusal, request_id)
 
     def _note(
         self, request: web.Request, request_id: str, started: float, status: int
@@ -259,15 +250,14 @@
             },
         )
 
-    def _enter(self) -> None:
-        self._open += 1
-        self._idle.clear()
-
-    def _leave(self) -> None:
-        self._open -= 1
-        if self._open == 0:
-            self._idle.set()
-
 
 def _finish_reason(tokens: int, call: Call) -> str:
     return "length" if tokens >= call.max_tokens else "stop"
+
+
+def _tls(section: HttpSection) -> ssl.SSLContext | None:
+    if not section.certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(section.certificate, section.private_key)
+    return context
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
@@ -25,7 +25,7 @@
         self.node.attach(self.core.peers, self.core.config)
         self.http = HttpServer(self._settings.http, self.node, self.core.run)
         metrics = self.node.metrics
-        metrics.gauge("open_requests", lambda: self.http.open_requests)
+        metrics.gauge("open_requests", lambda: self.http.doorkeeper.open_requests)
         metrics.gauge("dropped_answers", lambda: self.core.exchange.dropped)
         await self.add_runtime_dependency(self.node)
         await self.add_runtime_dependency(
@@ -35,4 +35,4 @@
 
     async def drain(self) -> None:
         """Finish what is under way before a stop."""
-        await self.http.drain()
+        await self.http.doorkeeper.drain()
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/booking.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/booking.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -13,23 +14,27 @@
 
     Attributes:
         executions: how often each booking was executed, by its body.
-        seen_headers: names of the headers that came with the last call.
+        seen: the last call.
+        respond: answers in place of the service, where a test sets it.
     """
 
     def __init__(self, port: int = 0, seconds: float = 0.002) -> None:
         super().__init__(port)
         self._seconds = seconds
         self.executions: Counter[str] = Counter()
-        self.seen_headers: list[str] = []
+        self.seen: web.Request | None = None
+        self.respond: Callable[[web.Request], web.Response] | None = None
         self.app.router.add_post("/bookings", self._book)
         self.app.router.add_get("/bookings", self._list)
         self.app.router.add_get("/listings", self._list)
 
     async def _book(self, request: web.Request) -> web.Response:
-        self.seen_headers = list(request.headers)
+        self.seen = request
         body = await request.text()
         self.executions[body] += 1
         await asyncio.sleep(self._seconds)
+        if self.respond is not None:
+            return self.respond(request)
         return web.json_response(
             {"booked": body, "count": self.executions[body]},
             status=201,
@@ -37,5 +42,7 @@
         )
 
     async def _list(self, request: web.Request) -> web.Response:
-        self.seen_headers = list(request.headers)
+        self.seen = request
+        if self.respond is not None:
+            return self.respond(request)
         return web.json_response({"bookings": sorted(self.executions)})
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/server.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/server.py
@@ -37,3 +37,9 @@
         """Stop serving."""
         if self._runner is not None:
             await self._runner.cleanup()
+
+    async def crash(self) -> None:
+        """Cut all connections at once and stop serving."""
+        for connection in self._runner.server.connections:
+            connection.transport.abort()
+        await self.stop()
--- a/packages/ebonyglade/src/ebonyglade/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -73,6 +73,7 @@
         _row("body_too_large", 413, "The body is larger than the limit."),
         _row("headers_too_large", 431, "The headers are larger than the limit."),
         _row("read_timeout", 408, "The body did not arrive in time.", 1.0),
+        _row("path_invalid", 400, "The path could mean two things."),
         _row("prompt_too_long", 400, "Prompt and answer exceed the route's limit."),
         _row("rate_exceeded", 429, "The workspace's rate is used up.", 1.0),
         _row("rate_impossible", 400, "The request costs more than the burst."),
--- /dev/null
+++ b/tests/helpers/fleets.py
@@ -0,0 +1,32 @@
+"""Small fleets over real sockets, in the test's own process."""
+
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from ebonyglade_lab import demo
+from ebonyglade_lab.fleet import KEY, Fleet, FleetSize
+
+
+@asynccontextmanager
+async def small_fleet(**sizes):
+    counts = {"entries": 1, "prefill": 1, "decode": 1, "service": 1, **sizes}
+    fleet = Fleet(FleetSize(**counts))
+    await fleet.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            await demo.wait_ready(session, fleet)
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def fetch(url, method="POST", key=KEY, **options):
+    """Return status, headers and body of one request on its own connection."""
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    headers.update(options.pop("headers", {}))
+    async with (
+        aiohttp.ClientSession(auto_decompress=False) as session,
+        session.request(method, url, headers=headers, **options) as answer,
+    ):
+        return answer.status, answer.headers, await answer.read()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,18 +4,15 @@
 import pytest
 
 from ebonyglade_lab import demo
-from ebonyglade_lab.fleet import Fleet, FleetSize, publish
+from ebonyglade_lab.fleet import publish
 from ebonyglade_lab.standins.answers import answer_tokens
+from helpers.fleets import small_fleet
 
 
 @pytest.fixture
 async def fleet():
-    fleet = Fleet(FleetSize(entries=1, prefill=1, decode=1, service=1))
-    await fleet.start()
-    async with aiohttp.ClientSession() as session:
-        await demo.wait_ready(session, fleet)
-    yield fleet
-    await fleet.stop()
+    async with small_fleet() as fleet:
+        yield fleet
 
 
 @pytest.fixture
@@ -31,7 +28,7 @@
 
 async def test_booking_runs_once_and_key_stays_behind(fleet, session):
     assert await demo.book(session, fleet.urls()[0], "room 1") == (201, 1)
-    seen = [name.lower() for name in fleet.bookings["rooms-1"].seen_headers]
+    seen = [name.lower() for name in fleet.bookings["rooms-1"].seen.headers]
     assert "authorization" not in seen
 
 
