--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fleet.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fleet.py
@@ -62,7 +62,9 @@
         for index in range(self.size.service):
             await self._start_service(f"rooms-{index + 1}")
         for index in range(self.size.entries):
-            await self._start_entry(f"entry-{index + 1}")
+            document = self.node_settings(f"entry-{index + 1}")
+            document["http"] = {"port": 0, "leave_s": 0.2}
+            await self.start_entry(EntrySettings.model_validate(document))
 
     async def stop(self) -> None:
         """Stop everything in reverse order."""
@@ -105,13 +107,14 @@
             self.platform, name, "agent", document["instance"]["address"], pool, stage
         )
 
-    async def _start_entry(self, name: str) -> None:
-        document = self.node_settings(name)
-        document["http"] = {"port": 0, "leave_s": 0.2}
-        entry = Entry(EntrySettings.model_validate(document))
+    async def start_entry(self, settings: EntrySettings) -> Entry:
+        """Start an entry and list it on the platform."""
+        entry = Entry(settings)
         await entry.start()
-        self.entries[name] = entry
-        publish_instance(self.platform, name, "entry", document["instance"]["address"])
+        me = settings.instance
+        self.entries[me.id] = entry
+        publish_instance(self.platform, me.id, "entry", me.address)
+        return entry
 
     def node_settings(self, name: str) -> dict:
         """Return the sections that every process of this fleet has."""
--- a/packages/ebonyglade-node/src/ebonyglade_node/commands.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/commands.py
@@ -44,17 +44,28 @@
         loaded = load(settings, self._settings_model)
         return f"{settings}: valid settings of {loaded.instance.id}"
 
-    def explain(self, settings: str, path: str = "") -> str:
-        """Show what is in force under a path, with revision and author.
+    def explain(
+        self,
+        settings: str,
+        path: str = "",
+        workspace: str = "",
+        route: str = "",
+    ) -> str:
+        """Show what is in force, and which revision and author put it there.
 
         Args:
             settings: settings file of the running daemon.
-            path: start of the configuration paths to show.
+            path: start of the configuration paths to show; all if empty.
+            workspace: a workspace as TEAM/NAME, in place of a path.
+            route: a route as TEAM/NAME, in place of a path.
         """
-        document = self._ask(settings, f"/explain?path={quote(path)}")
+        chosen = path or _path_of(workspace, "workspaces") or _path_of(route, "routes")
+        document = self._ask(settings, f"/explain?path={quote(chosen)}")
         lines = [f"configuration revision {document['revision']}"]
         for row in document["documents"]:
             lines += _explained(row)
+        if not document["documents"]:
+            lines.append(f"nothing is in force under {chosen or 'any path'}")
         return "\n".join(lines)
 
     def audit(self, settings: str, path: str = "") -> str:
@@ -92,19 +103,31 @@
 def run_program(name: str, commands: type[NodeCommands]) -> None:
     """Run a command line; a user's mistake is one line and exit code 2."""
     try:
-        fire.Fire(commands, name=name)
+        fire.Fire(commands(), name=name)
     except UserError as error:
         print(f"{name}: {error}", file=sys.stderr)
         sys.exit(EXIT_USER_ERROR)
     sys.exit(EXIT_OK)
 
 
+def _path_of(name: str, kind: str) -> str:
+    """Return the path of a document that is named TEAM/NAME; "" if it is not."""
+    if not name:
+        return ""
+    team, slash, rest = name.partition("/")
+    if not slash or not rest:
+        raise UserError(f"{name}: must look like TEAM/NAME")
+    return f"teams/{team}/{kind}/{rest}"
+
+
 def _explained(row: dict) -> list[str]:
     author = row["author"] or "unknown"
     lines = [f"{row['path']}  revision {row['revision']}  author {author}"]
     if row["newest_revision"] > row["revision"]:
         lines.append(f"  revision {row['newest_revision']} was rejected; see audit")
-    lines += [f"  {line}" for line in row["in_force"].strip().splitlines()]
+    for name, value in row["in_force"].items():
+        origin = "" if name in row["published"] else "  (default)"
+        lines.append(f"  {name} = {json.dumps(value)}{origin}")
     return lines
 
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/status.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/status.py
@@ -63,7 +63,8 @@
                     "revision": accepted.item.revision,
                     "author": accepted.document.author,
                     "newest_revision": latest.revision if latest else 0,
-                    "in_force": accepted.item.value,
+                    "in_force": accepted.document.model_dump(mode="json"),
+                    "published": sorted(accepted.document.model_fields_set),
                 }
             )
         document = {"revision": store.revision, "documents": rows}
