Write the settings reference from the models and end crashed daemons

Cause: settings were told nowhere, a crashed part left a process that did nothing, and an address in use ended with a traceback.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -7,7 +7,8 @@
 
 import fire
 
-from ebonyglade_lab import demo, deployment, operator
+from ebonyglade_lab import demo, deployment, operator, reference
+from ebonyglade_lab.experiments import idle
 from ebonyglade_lab.fleet import KEY, FleetSize
 
 
@@ -75,6 +76,20 @@
         """
         print(operator.ask(deployment.read_plan(Path(directory)), prompt, key))
 
+    def idle(self, seconds: float = 30.0) -> None:
+        """Measure memory, processor time and control bytes of idle daemons.
+
+        Args:
+            seconds: how long to measure.
+        """
+        table = idle.run(seconds)
+        table.record("idle")
+        print(table.markdown())
+
+    def reference(self) -> None:
+        """Write docs/settings.md from the models of all settings."""
+        reference.write()
+
 
 def main() -> None:
     """Run the command line."""
--- a/tests/helpers/processes.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/processes.py
@@ -1,4 +1,7 @@
-"""Real processes of a planned fleet, for tests and measurements."""
+"""Real processes of a planned fleet, for tests and measurements.
+
+This is a development tool: the daemons themselves start no process.
+"""
 
 import contextlib
 import signal
--- a/packages/ebonyglade-node/src/ebonyglade_node/commands.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import signal
 import sys
 import urllib.error
@@ -10,12 +11,15 @@
 from urllib.parse import quote
 
 import fire
+import zmq
 from mode import Service
 
-from ebonyglade.errors import EXIT_OK, EXIT_USER_ERROR, UserError
+from ebonyglade.errors import EXIT_FAILURE, EXIT_OK, EXIT_USER_ERROR, UserError
 from ebonyglade_node import logs
 from ebonyglade_node.settings import NodeSettings, load
 
+logger = logging.getLogger(__name__)
+
 STATUS_TIMEOUT_S = 5.0
 
 
@@ -89,13 +93,25 @@
 
 
 async def serve(service: Service) -> None:
-    """Run a service until a signal, drain it and stop it."""
+    """Run a service until a signal, drain it and stop it.
+
+    Raises:
+        UserError: an address of the settings can't be used.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
-    await service.start()
-    await stop.wait()
+    try:
+        await service.start()
+    except (OSError, zmq.ZMQError) as error:
+        await service.stop()
+        raise UserError(f"could not start: {error}") from error
+    await service.wait(stop)
+    if service.crashed:
+        logger.error("crashed", exc_info=service.crash_reason)
+        await service.stop()
+        sys.exit(EXIT_FAILURE)
     await service.drain()
     await service.stop()
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/settings.py
@@ -40,7 +40,12 @@
 
 
 class PeerSection(Section):
-    """An instance to ask before the platform's list is known."""
+    """An instance to ask before the platform's list is known.
+
+    Attributes:
+        id: its instance id.
+        address: where it takes messages, "tcp://IP:port".
+    """
 
     id: str
     address: str
@@ -80,14 +85,24 @@
 
 
 class LogSection(Section):
-    """How to log."""
+    """How to log.
+
+    Attributes:
+        format: "keyvalue" or "json".
+        level: least level that is logged.
+    """
 
     format: Literal["keyvalue", "json"] = "keyvalue"
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 class StatusSection(Section):
-    """Local address of health, metrics, `explain` and `audit`."""
+    """Local address of health, metrics, `explain` and `audit`.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; zero for any free one, which `explain` can't find.
+    """
 
     host: str = "127.0.0.1"
     port: int = Field(default=0, ge=0, le=65535)
--- a/packages/ebonyglade/src/ebonyglade/config/published.py
+++ b/packages/ebonyglade/src/ebonyglade/config/published.py
@@ -21,7 +21,12 @@
 
 
 class Document(BaseModel):
-    """Base of all documents: who changed it last, and a free note."""
+    """Base of all documents: who changed it last, and a free note.
+
+    Attributes:
+        author: who made the last change; shown by `explain` and `audit`.
+        note: free text.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -44,7 +49,13 @@
 
 
 class Key(Document):
-    """A caller's key, as the SHA-256 digest of its text in hexadecimal."""
+    """A caller's key, which belongs to one workspace of its team.
+
+    Attributes:
+        digest: SHA-256 digest of the key's text, in hexadecimal.
+        workspace: the workspace, without its team.
+        withdrawn: whether the key no longer works.
+    """
 
     digest: str
     workspace: str
@@ -130,6 +141,12 @@
 )
 
 
+def shapes() -> list[tuple[str, type[Document]]]:
+    """Return the form of each path with the model of its documents."""
+    named = [(pattern.pattern, model) for pattern, model in _SHAPES]
+    return [(text.replace("[^/]+", "NAME"), model) for text, model in named]
+
+
 def parse(path: str, text: str) -> Result[Document, str]:
     """Return the document at a path, or why it is invalid, with its line."""
     model = _model_of(path)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -7,7 +7,7 @@
 
 from ebonyglade_lab import operator
 from ebonyglade_lab.fleet import FleetSize
-from helpers.processes import new_processes
+from ebonyglade_lab.processes import new_processes
 
 STOPS = {"http": {"leave_s": 0.1}, "endpoint": {"leave_s": 0.1}}
 
@@ -78,6 +78,15 @@
     assert "missing.toml: No such file" in err
 
 
+def test_address_in_use_is_a_user_error(fleet):
+    code, _, err = command(
+        "ebonyglade_agent", "run", "--settings", settings(fleet, "decode-1")
+    )
+    assert code == 2
+    assert "could not start: " in err.splitlines()[-1]
+    assert "Traceback" not in err
+
+
 def test_explain_shows_value_default_revision_and_author(fleet):
     code, out, _ = command(
         "ebonyglade_entry",
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,8 +5,8 @@
 
 from ebonyglade_lab import demo
 from ebonyglade_lab.fleet import FleetSize
+from ebonyglade_lab.processes import new_processes, wait_for_url
 from ebonyglade_lab.standins.answers import answer_tokens
-from helpers.processes import new_processes, wait_for_url
 
 STOPS = {"http": {"leave_s": 0.3}, "endpoint": {"leave_s": 0.5}}
 
--- /dev/null
+++ b/tests/test_serve.py
@@ -0,0 +1,44 @@
+"""How a daemon's process ends."""
+
+import asyncio
+import os
+import signal
+
+import pytest
+from mode import Service
+
+from ebonyglade_node.commands import serve
+
+
+class Child(Service):
+    @Service.task
+    async def _fail(self):
+        await asyncio.sleep(0.01)
+        raise ValueError("a bug")
+
+
+class Daemon(Service):
+    drained = False
+
+    async def drain(self):
+        self.drained = True
+
+
+class Failing(Daemon):
+    async def on_start(self):
+        await self.add_runtime_dependency(Child())
+
+
+async def test_crash_of_a_part_ends_the_process_with_failure():
+    with pytest.raises(SystemExit) as ended:
+        async with asyncio.timeout(5):
+            await serve(Failing())
+    assert ended.value.code == 1
+
+
+async def test_signal_drains_before_the_stop():
+    daemon = Daemon()
+    asyncio.get_running_loop().call_later(0.05, os.kill, os.getpid(), signal.SIGTERM)
+    async with asyncio.timeout(5):
+        await serve(daemon)
+    assert daemon.drained
