Grant exclusive leases on groups by in-memory votes

Rates, at-most-once keys and the weight store's rate need one process that acts for a group at a time, without shared state. Voters follow from the published list alone; a lease needs a quorum in the panel of every list that is not yet sealed, so that holders which know different revisions can't both have one.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -14,6 +14,7 @@
 from ebonyglade.entry import EntryCore
 from ebonyglade.events import Event
 from ebonyglade.invariants import Invariants
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.verdict import Refusal
 from ebonyglade_lab.virtual.endpoints import (
     EngineState,
@@ -31,6 +32,8 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 MODEL_POOL = "abstracts"
 SERVICE_POOL = "rooms"
+# A world that starts at once: it removes no instance that still runs.
+QUICK_TERMS = Terms(lease_s=0.4, removal_s=0.0, seal_s=1.0, groups=16)
 
 
 @dataclass(slots=True)
@@ -72,7 +75,10 @@
 class World:
     """A small fleet; build and use it inside a virtual loop."""
 
-    def __init__(self, seed: int, strict: bool = True) -> None:
+    def __init__(
+        self, seed: int, strict: bool = True, terms: Terms = QUICK_TERMS
+    ) -> None:
+        self.terms = terms
         self.rng = random.Random(seed)
         self.network = Network(random.Random(seed + 1))
         self.platform = VirtualPlatform()
@@ -92,7 +98,7 @@
 
     def add_entry(self, name: str, zone: str = ZONES[0]) -> Node:
         """List an entry on the platform and start it."""
-        self._makers[name] = lambda context, process: EntryCore(context)
+        self._makers[name] = lambda context, process: EntryCore(context, self.terms)
         self.list_instance(name, "entry", zone)
         return self.start(name)
 
@@ -110,7 +116,7 @@
 
         def make(context: Context, process: Process) -> AgentCore:
             engine = VirtualEngine(state, process, self.engines)
-            return AgentCore(context, limits, engine=engine)
+            return AgentCore(context, limits, engine=engine, terms=self.terms)
 
         self._makers[name] = make
         self.list_instance(name, "agent", zone, MODEL_POOL, stage)
@@ -128,7 +134,12 @@
 
         def make(context: Context, process: Process) -> AgentCore:
             service = VirtualService(state, process)
-            return AgentCore(context, limits or EndpointLimits(), service=service)
+            return AgentCore(
+                context,
+                limits or EndpointLimits(),
+                service=service,
+                terms=self.terms,
+            )
 
         self._makers[name] = make
         self.list_instance(name, "agent", zone, SERVICE_POOL, "service")
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -7,6 +7,8 @@
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.members.peers import Peers
+from ebonyglade.ownership.ownership import Ownership
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.slots import SlotTable
@@ -41,10 +43,14 @@
         limits: EndpointLimits,
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
+        terms: Terms | None = None,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.ownership = Ownership(
+            context, self.config, terms or Terms(), candidate=False
+        )
         self.worker = Worker(
             engine,
             service,
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -12,6 +12,8 @@
 from ebonyglade.events import Event
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
+from ebonyglade.ownership.ownership import Ownership
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Sender
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
@@ -32,10 +34,13 @@
 class EntryCore:
     """Runs calls over agents; embeddable, without any I/O of its own."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, terms: Terms | None = None) -> None:
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.ownership = Ownership(
+            context, self.config, terms or Terms(), candidate=True
+        )
         self.exchange = Exchange(context.transport)
         self.inflight = Inflight()
         parts = (self.exchange, self.inflight, context.clock, context.rng)
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Exclusive leases on groups, voted for by the published instances in memory."""
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/ownership/quorum.py
@@ -0,0 +1,133 @@
+"""Voters of a group and when their grants make a lease.
+
+The rules keep two leases apart even if they were computed from different
+revisions of the list; docs/design/rates.md has the proof.
+"""
+
+import hashlib
+import math
+from bisect import insort
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+from itertools import groupby
+
+ZONES = 3  # availability zones that vote
+ZONE_VOTERS = 3  # voters in each of them
+
+Ranked = tuple[int, str]
+Panel = tuple[tuple[str, ...], ...]
+"""Voters by availability zone: a majority of zones by a majority in each."""
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """An instance that may vote: its zone and the revision that listed it."""
+
+    zone: str
+    since: int
+
+
+@lru_cache(maxsize=16384)
+def _digest(name: str) -> int:
+    raw = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(raw, "big")
+
+
+def rank(group: int, name: str) -> Ranked:
+    """Return the rendezvous rank of a name for a group; smaller is first."""
+    mixed = _digest(name) ^ _digest(f"group {group}")
+    mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ (mixed >> 31), name
+
+
+def group_of(workspace: str, groups: int) -> int:
+    """Return the group that a workspace belongs to."""
+    return _digest(workspace) % groups
+
+
+def first(group: int, names: Iterable[str], count: int) -> list[str]:
+    """Return the first names of a group's rendezvous order."""
+    return [name for _, name in sorted(rank(group, name) for name in names)[:count]]
+
+
+@dataclass(frozen=True, slots=True)
+class ListPanel:
+    """The panel of all lists from the previous panel's `end` up to `end`."""
+
+    panel: Panel
+    end: float
+
+
+def list_panels(group: int, members: Mapping[str, Member]) -> list[ListPanel]:
+    """Return the panels of the list and of all that it can have grown from.
+
+    For each revision, the members listed up to it form a panel. A lease needs
+    a quorum in every one that is not sealed, so that it meets each lease of an
+    older revision.
+    """
+    zones: dict[str, list[Ranked]] = {}
+    order: list[Ranked] = []
+    found: list[ListPanel] = []
+    by_age = sorted(members.items(), key=lambda item: item[1].since)
+    for since, joined in groupby(by_age, key=lambda item: item[1].since):
+        before = _panel(zones, order)
+        for name, member in joined:
+            _join(group, name, member.zone, zones, order)
+        if before and before != _panel(zones, order):
+            found.append(ListPanel(before, since))
+    if order:
+        found.append(ListPanel(_panel(zones, order), math.inf))
+    return found
+
+
+def _join(
+    group: int,
+    name: str,
+    zone: str,
+    zones: dict[str, list[Ranked]],
+    order: list[Ranked],
+) -> None:
+    """Add an instance to its zone's voters if it ranks among them."""
+    if zone not in zones:
+        zones[zone] = []
+        insort(order, rank(group, zone))
+    voters = zones[zone]
+    insort(voters, rank(group, name))
+    del voters[ZONE_VOTERS:]
+
+
+def _panel(zones: dict[str, list[Ranked]], order: list[Ranked]) -> Panel:
+    return tuple(tuple(name for _, name in zones[zone]) for _, zone in order[:ZONES])
+
+
+def voters_of(group_panels: Iterable[Panel]) -> set[str]:
+    """Return all voters of some panels."""
+    return {name for panel in group_panels for zone in panel for name in zone}
+
+
+def covered_until(group_panels: list[Panel], until: Mapping[str, float]) -> float:
+    """Return until when grants make a quorum in every panel.
+
+    Args:
+        group_panels: the panels of one group.
+        until: monotonic seconds until which each voter's grant holds.
+
+    Returns:
+        Monotonic seconds; minus infinity if there is no quorum or no panel.
+    """
+    if not group_panels:
+        return -math.inf
+    return min(reached_by(panel, until) for panel in group_panels)
+
+
+def reached_by(panel: Panel, until: Mapping[str, float]) -> float:
+    """Return the greatest value that a quorum of a panel reaches."""
+    zones = [_majority([until.get(name, -math.inf) for name in zone]) for zone in panel]
+    return _majority(zones)
+
+
+def _majority(values: list[float]) -> float:
+    """Return the value that more than half of the values reach."""
+    return sorted(values, reverse=True)[len(values) // 2]
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/ownership/voter.py
@@ -0,0 +1,72 @@
+"""A voter's memory of which holder it granted each group to."""
+
+from dataclasses import dataclass
+
+from ebonyglade.invariants import Invariants
+from ebonyglade.ownership.terms import Terms
+from ebonyglade.wire.ownership import Refused
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    holder: str
+    incarnation: str
+    until: float
+    seq: int
+
+    def held_by(self, holder: str, incarnation: str) -> bool:
+        """Return whether it was granted to this process."""
+        return (self.holder, self.incarnation) == (holder, incarnation)
+
+
+class Voter:
+    """Grants each group to one holder at a time.
+
+    A voter that restarted has forgotten its grants, so it grants nothing for
+    one whole term after its start.
+    """
+
+    def __init__(self, terms: Terms, started: float, invariants: Invariants) -> None:
+        self._terms = terms
+        self._abstains_until = started + terms.abstain_s
+        self._invariants = invariants
+        self._grants: dict[int, _Grant] = {}
+
+    def ask(
+        self, holder: str, incarnation: str, seq: int, group: int, now: float
+    ) -> Refused | None:
+        """Grant a group for one term from now on, or say who has it."""
+        if now < self._abstains_until:
+            return Refused(group, "", self._abstains_until - now)
+        known = self._grants.get(group)
+        mine = known is not None and known.held_by(holder, incarnation)
+        if known is not None and known.until > now and not mine:
+            return Refused(group, known.holder, known.until - now)
+        if mine and known.seq >= seq:
+            # A late request must not undo a release that overtook it.
+            return None if known.until > now else Refused(group, "", 0.0)
+        until = now + self._terms.lease_s
+        self._grant(group, _Grant(holder, incarnation, until, seq), now)
+        return None
+
+    def release(
+        self, holder: str, incarnation: str, seq: int, group: int, now: float
+    ) -> None:
+        """Take a group back from its holder."""
+        known = self._grants.get(group)
+        if known is None or not known.held_by(holder, incarnation):
+            return
+        if known.seq <= seq:
+            self._grants[group] = _Grant(holder, incarnation, now, seq)
+
+    def _grant(self, group: int, grant: _Grant, now: float) -> None:
+        known = self._grants.get(group)
+        free = (
+            known is None
+            or known.until <= now
+            or known.held_by(grant.holder, grant.incarnation)
+        )
+        self._invariants.require(
+            free, "lease_single_holder", f"group {group}: {known} and {grant}"
+        )
+        self._grants[group] = grant
