Test sealed lists with enough reachable voters

The first layout left most groups without a quorum of reachable voters, so the test failed for its layout and not for the rule; the check itself is unchanged.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -187,7 +187,7 @@
 
 def test_a_sealed_list_makes_no_lease():
     async def scenario():
-        world = lease_world()
+        world = lease_world(entries=3, agents=9)
         oracle = HolderOracle(world)
         return *await sealed_list(world), oracle.clashes
 
@@ -204,7 +204,7 @@
     monkeypatch.setattr(Seals, "promise", careless)
 
     async def scenario():
-        world = lease_world()
+        world = lease_world(entries=3, agents=9)
         oracle = HolderOracle(world)
         await sealed_list(world)
         return oracle.clashes
