Promise decode slots in weighted fair order and choose pairs by prediction

Cause: a slot was reserved at once or refused, a waiting request had no place, every decision looked at all endpoints, and a cancelled job's slot was given on before the engine was rid of it.

Change: agents keep a bounded queue in weighted fair order and promise a slot when its predicted free time meets the end of prefill and transfer. Entries choose a pair from a bounded subset by load, prefix hints and zone. Instances are indexed once for each view.

--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -9,10 +9,12 @@
 from ebonyglade.members.peers import Peers
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
 EXPIRE_S = 0.25
+ADMIT_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +52,16 @@
             service,
             context.transport,
             context.clock,
-            SlotTable(limits.slots, limits.pieces, limits.lease_s),
+            SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
             limits.prefill_slots,
+            context.invariants,
         )
+        self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
         self.peers.on_revision = self.config.heard_revision
-        context.handle(self.worker.handlers)
+        context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
+        context.every(ADMIT_S, self.worker.admit)
 
     def drain(self, known: Callable[[], list[str]]) -> None:
         """Announce a planned stop and refuse new work."""
--- a/packages/ebonyglade/src/ebonyglade/config/view.py
+++ b/packages/ebonyglade/src/ebonyglade/config/view.py
@@ -38,6 +38,8 @@
         models: model routes by model name.
         services: service routes, longest path first.
         instances: listed instances by id.
+        pools: ids of the live agents by (pool, stage), in order.
+        entries: ids of the live entries, in order.
     """
 
     revision: int = 0
@@ -46,21 +48,26 @@
     models: dict[str, list[RouteEntry]] = field(default_factory=dict)
     services: list[RouteEntry] = field(default_factory=list)
     instances: dict[str, Instance] = field(default_factory=dict)
+    pools: dict[tuple[str, str], tuple[str, ...]] = field(default_factory=dict)
+    entries: tuple[str, ...] = ()
 
     def owner_of(self, key: str) -> Owner | None:
         """Return whom a key's text belongs to; None if it is not known."""
         return self.keys.get(digest(key))
 
-    def endpoints(self, pool: str, stage: str) -> list[str]:
+    def endpoints(self, pool: str, stage: str) -> tuple[str, ...]:
         """Return the ids of the live agents of a pool's stage."""
-        return [
-            name
-            for name, instance in self.instances.items()
-            if instance.role == "agent"
-            and instance.state == "live"
-            and instance.pool == pool
-            and instance.stage == stage
-        ]
+        return self.pools.get((pool, stage), ())
+
+    def zone_of(self, instance: str) -> str:
+        """Return the availability zone of a listed instance, or ""."""
+        listed = self.instances.get(instance)
+        return listed.zone if listed else ""
+
+    def weight_of(self, workspace: str) -> float:
+        """Return a workspace's fair-share weight; 1 if it is not published."""
+        published = self.workspaces.get(workspace)
+        return published.weight if published else 1.0
 
 
 def digest(key: str) -> str:
@@ -80,9 +87,25 @@
     for path, accepted in sorted(store.documents.items()):
         adders[type(accepted.document)](view, path.split("/"), accepted.document)
     view.services.sort(key=lambda entry: (-len(entry.route.path), entry.name))
+    _index_instances(view)
     return view
 
 
+def _index_instances(view: View) -> None:
+    """Group the live instances once, so that no request has to look at all."""
+    pools: dict[tuple[str, str], list[str]] = {}
+    entries = []
+    for name, instance in view.instances.items():
+        if instance.state != "live":
+            continue
+        if instance.role == "entry":
+            entries.append(name)
+            continue
+        pools.setdefault((instance.pool, instance.stage), []).append(name)
+    view.pools = {key: tuple(names) for key, names in pools.items()}
+    view.entries = tuple(entries)
+
+
 def _add_workspace(view: View, parts: list[str], document: Workspace) -> None:
     view.workspaces[f"{parts[1]}/{parts[3]}"] = document
 
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a model request at one pair of endpoints."""
 
+import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
@@ -7,9 +8,12 @@
 from result import Err, Result
 
 from ebonyglade.calls import Call, StreamFailed
-from ebonyglade.dispatch.choice import Inflight, choose
 from ebonyglade.dispatch.exchange import Attempt, Exchange
+from ebonyglade.dispatch.reservation import reserve
 from ebonyglade.dispatch.waiting import wait_for
+from ebonyglade.placement.choice import Ask, Pair, choose_pair, choose_prefill
+from ebonyglade.placement.placer import Placer
+from ebonyglade.placement.prefixes import prompt_blocks
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade.wire.base import Message
@@ -26,8 +30,11 @@
 
 PIECE_TOKENS = 2048  # tokens in one piece of engine memory
 CREDIT_TOKENS = 256  # tokens that an agent may send ahead of the caller
-RESERVE_TIMEOUT_S = 1.0
 CHUNK_TIMEOUT_S = 5.0
+REPLAN_S = 0.05  # after so long a wait the prefill agent is chosen again
+LEAST_LEAD_S = 0.001
+NO_ROOM = frozenset({"overloaded", "deadline_infeasible"})
+LEAST_PAUSE_S = 0.05  # before patient work asks again after a refusal
 
 
 @dataclass(slots=True)
@@ -49,10 +56,10 @@
 
 @dataclass(slots=True)
 class PairAttempts:
-    """Runs attempts: reserve a decode slot, prefill, decode."""
+    """Runs attempts: promise of a decode slot, prefill, decode."""
 
     exchange: Exchange
-    inflight: Inflight
+    placer: Placer
     clock: Clock
     rng: random.Random
     new_id: Callable[[], str]
@@ -63,55 +70,105 @@
         Raises:
             StreamFailed: the attempt ended before the answer was whole.
         """
-        pool = call.route.route.pool
-        decode_name = self._choose(call, pool, "decode", progress)
-        prefill_name = self._choose(call, pool, "prefill", progress)
-        decode = self._open(decode_name)
+        ask = self._ask_for(call, progress)
+        pair, decode = await self._promised(call, progress, ask)
         try:
-            await self._reserve(call, progress, decode)
-            source = await self._prefill(call, progress, prefill_name)
+            source = await self._prefill(call, progress, pair.prefill)
             async for tokens in self._decode(call, progress, decode, source):
                 yield tokens
         finally:
             self._close(decode)
 
-    def _choose(self, call: Call, pool: str, stage: str, progress: Progress) -> str:
-        name = choose(
-            call.view, pool, stage, self.inflight, progress.excluded, self.rng
+    def _ask_for(self, call: Call, progress: Progress) -> Ask:
+        return Ask(
+            call.route.route.pool,
+            call.prompt.tokens,
+            prompt_blocks(call.prompt.text),
+            progress.excluded,
         )
-        if name is None:
+
+    def _choose(self, call: Call, ask: Ask) -> Pair:
+        pair = choose_pair(self.placer.sight(call.view), ask, self.rng, self.clock())
+        if pair is None:
             raise StreamFailed(refuse("no_endpoint"))
-        return name
+        return pair
 
-    def _open(self, instance: str) -> Attempt:
-        self.inflight.counts[instance] += 1
+    def _open(self, instance: str, tokens: int) -> Attempt:
+        self.placer.loads.begun(instance, tokens)
         return self.exchange.open(self.new_id(), instance)
 
     def _close(self, attempt: Attempt) -> None:
-        self.inflight.counts[attempt.instance] -= 1
+        self.placer.loads.ended(attempt.instance)
         self.exchange.close(attempt)
 
-    async def _reserve(self, call: Call, progress: Progress, decode: Attempt) -> None:
-        """Hold a decode slot before any prefill is spent."""
+    async def _promised(
+        self, call: Call, progress: Progress, ask: Ask
+    ) -> tuple[Pair, Attempt]:
+        """Return a pair whose decode slot is promised in time for a prefill.
+
+        Patient work asks again after a refusal for lack of room, for as long
+        as its deadline can hold.
+        """
+        while True:
+            pair = self._choose(call, ask)
+            decode = self._open(pair.decode, call.prompt.tokens)
+            try:
+                return await self._reserve(call, progress, ask, pair, decode), decode
+            except BaseException as failure:
+                self._close(decode)
+                if not _asks_again(call, failure):
+                    raise
+                pause = max(LEAST_PAUSE_S, failure.refusal.retry_after or 0.0)
+            pause *= 0.5 + self.rng.random()
+            await asyncio.sleep(min(pause, self._left(call) / 4))
+
+    async def _reserve(
+        self, call: Call, progress: Progress, ask: Ask, pair: Pair, decode: Attempt
+    ) -> Pair:
+        """Wait until the prefill should start; return the pair that runs."""
+        asked_at = self.clock()
+        request = self._reservation(call, pair, decode)
+        answer = await reserve(self.exchange, decode, request, self.clock)
+        if isinstance(answer, Err):
+            if answer.err_value.code not in NO_ROOM:
+                progress.excluded.add(decode.instance)
+            raise StreamFailed(answer.err_value)
+        if self.clock() - asked_at < REPLAN_S:
+            return pair
+        sight = self.placer.sight(call.view)
+        again = choose_prefill(sight, ask, pair.decode, self.rng, self.clock())
+        return again or pair
+
+    def _reservation(self, call: Call, pair: Pair, decode: Attempt) -> Reserve:
+        route = call.route.route
         tokens = call.prompt.tokens + call.max_tokens
-        within = min(RESERVE_TIMEOUT_S, self._left(call))
-        request = Reserve(
+        left = self._left(call)
+        patience = left if route.patient else min(route.first_token_s, left)
+        return Reserve(
             decode.id,
             call.workspace,
             -(-tokens // PIECE_TOKENS),
-            within,
-            priority=call.route.route.priority,
+            patience,
+            call.view.weight_of(call.workspace),
+            route.priority,
+            tokens,
+            call.max_tokens,
+            max(pair.lead_s, LEAST_LEAD_S),
+            route.patient,
         )
-        # Nothing runs before the slot is held, so a lost answer is still NOT_RUN.
-        silent = refuse("endpoint_down")
-        await self._ask(decode, request, within, silent, Reserved, progress)
 
     async def _prefill(self, call: Call, progress: Progress, name: str) -> Prefilled:
-        attempt = self._open(name)
+        attempt = self._open(name, call.prompt.tokens)
         try:
             within = self._left(call)
             request = Prefill(
-                attempt.id, call.workspace, call.prompt.model, call.prompt.text, within
+                attempt.id,
+                call.workspace,
+                call.prompt.model,
+                call.prompt.text,
+                within,
+                weight=call.view.weight_of(call.workspace),
+                tokens=call.prompt.tokens,
             )
             silent = refuse("deadline_exceeded")
             answer = await self._ask(
@@ -147,7 +204,8 @@
         progress: Progress,
     ) -> Message:
         if isinstance(answer, Err):
-            progress.excluded.add(attempt.instance)
+            if answer.err_value.code not in NO_ROOM:
+                progress.excluded.add(attempt.instance)
             raise StreamFailed(answer.err_value)
         if not isinstance(answer.ok_value, expected):
             raise StreamFailed(refuse("internal", message="Unexpected answer."))
@@ -172,7 +230,9 @@
         while True:
             within = min(CHUNK_TIMEOUT_S, self._left(call))
             answer = await wait_for(decode, within, self._silence(call))
-            message = self._expect(answer, (Chunk, Done), decode, progress)
+            message = self._expect(answer, (Chunk, Done, Reserved), decode, progress)
+            if isinstance(message, Reserved):
+                continue  # The promise was told again.
             if isinstance(message, Done):
                 decode.ended = True
                 _check_whole(message, progress)
@@ -195,6 +255,12 @@
         return left
 
 
+def _asks_again(call: Call, failure: BaseException) -> bool:
+    if not isinstance(failure, StreamFailed) or not call.route.route.patient:
+        return False
+    return failure.refusal.code in NO_ROOM
+
+
 def _fresh(chunk: Chunk, progress: Progress) -> list[str]:
     """Return the tokens of a chunk that the caller does not have yet."""
     have = len(progress.tokens)
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -7,11 +7,12 @@
 from result import Err, Ok, Result
 
 from ebonyglade.calls import Call, Reply, WholeAnswer
-from ebonyglade.dispatch.attempts import RESERVE_TIMEOUT_S
-from ebonyglade.dispatch.choice import Inflight, choose
 from ebonyglade.dispatch.exchange import Attempt, Exchange
 from ebonyglade.dispatch.models import MAX_ATTEMPTS
+from ebonyglade.dispatch.reservation import reserve
 from ebonyglade.dispatch.waiting import wait_for
+from ebonyglade.placement.choice import choose_endpoint
+from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.work import Reserve, Reserved, Serve, Served
@@ -22,7 +23,7 @@
     """Runs service calls; what may not be repeated is sent at most once."""
 
     exchange: Exchange
-    inflight: Inflight
+    placer: Placer
     clock: Clock
     rng: random.Random
     new_id: Callable[[], str]
@@ -31,13 +32,13 @@
         """Return the endpoint's answer or a truthful refusal."""
         excluded: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
-            name = choose(
-                call.view,
+            name = choose_endpoint(
+                self.placer.sight(call.view),
                 call.route.route.pool,
                 "service",
-                self.inflight,
                 excluded,
                 self.rng,
+                self.clock(),
             )
             if name is None:
                 return Err(refuse("no_endpoint"))
@@ -56,29 +57,29 @@
 
     async def _attempt(self, call: Call, name: str) -> Reply:
         attempt = self.exchange.open(self.new_id(), name)
-        self.inflight.counts[name] += 1
+        self.placer.loads.begun(name, 0)
         try:
             reserved = await self._reserve(call, attempt)
             if isinstance(reserved, Err):
                 return reserved
             return await self._serve(call, attempt)
         finally:
-            self.inflight.counts[name] -= 1
+            self.placer.loads.ended(name)
             self.exchange.close(attempt)
 
     async def _reserve(self, call: Call, attempt: Attempt) -> Result[Reserved, Refusal]:
-        within = min(RESERVE_TIMEOUT_S, call.deadline - self.clock())
+        route = call.route.route
         request = Reserve(
             attempt.id,
             call.workspace,
             0,
-            within,
-            priority=call.route.route.priority,
+            max(0.0, call.deadline - self.clock()),
+            call.view.weight_of(call.workspace),
+            route.priority,
+            max(1, round(route.cost)),
+            patient=route.patient,
         )
-        # Nothing runs before the slot is held, so a lost answer is still NOT_RUN.
-        if not self.exchange.send(attempt, request):
-            return Err(refuse("endpoint_down"))
-        return await wait_for(attempt, within, refuse("endpoint_down"))
+        return await reserve(self.exchange, attempt, request, self.clock)
 
     async def _serve(self, call: Call, attempt: Attempt) -> Reply:
         within = call.deadline - self.clock()
@@ -96,7 +97,11 @@
         )
         if not self.exchange.send(attempt, request):
             return Err(refuse("endpoint_down"))
-        answer = await wait_for(attempt, within, refuse("deadline_exceeded"))
+        silent = refuse("deadline_exceeded")
+        answer = await wait_for(attempt, within, silent)
+        while isinstance(answer, Ok) and isinstance(answer.ok_value, Reserved):
+            # The promise was told again.
+            answer = await wait_for(attempt, call.deadline - self.clock(), silent)
         if isinstance(answer, Err):
             return answer
         served = answer.ok_value
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -4,7 +4,6 @@
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.context import Context
 from ebonyglade.dispatch.attempts import PairAttempts
-from ebonyglade.dispatch.choice import Inflight
 from ebonyglade.dispatch.exchange import Exchange
 from ebonyglade.dispatch.filters import check_size, find_route, identify
 from ebonyglade.dispatch.models import ModelDispatcher
@@ -12,6 +11,7 @@
 from ebonyglade.events import Event
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
+from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Sender
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
@@ -37,8 +37,8 @@
         self.peers = Peers(context)
         self.config = ConfigController(context)
         self.exchange = Exchange(context.transport)
-        self.inflight = Inflight()
-        parts = (self.exchange, self.inflight, context.clock, context.rng)
+        self.placer = Placer(context)
+        parts = (self.exchange, self.placer, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
         self.models = ModelDispatcher(pairs, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id)
@@ -58,23 +58,25 @@
         self.context.every(RENEW_S, self._renew)
 
     def _on_leaving(self, sender: Sender, message: Message) -> None:
-        self.inflight.avoid.add(sender.instance)
+        self.placer.loads.avoid.add(sender.instance)
 
     def _on_peer_changed(self, instance: str, change: Change, incarnation: str) -> None:
         _PEER_EFFECTS[change](self, instance, incarnation)
 
     def _suspect(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.add(instance)
+        self.placer.loads.avoid.add(instance)
 
     def _lost(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.add(instance)
+        self.placer.loads.avoid.add(instance)
+        self.placer.forget(instance)
         self.exchange.peer_lost(instance)
 
     def _back(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.discard(instance)
+        self.placer.loads.avoid.discard(instance)
 
     def _restarted(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.discard(instance)
+        self.placer.loads.avoid.discard(instance)
+        self.placer.forget(instance)
         self.exchange.peer_lost(instance, incarnation)
 
     def _renew(self, now: float) -> None:
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoints that serve a request."""
--- a/packages/ebonyglade/src/ebonyglade/wire/control.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/control.py
@@ -60,6 +60,10 @@
         slots: most jobs that the engine takes.
         free_pieces: free KV pieces.
         draining: whether new work is refused.
+        ready_in: seconds until one more job could start.
+        interval: mean seconds between two jobs that end.
+        prefill_token_s: seconds of prefill for a token; zero if unknown.
+        transfer_token_s: seconds of transfer for a token; zero if unknown.
     """
 
     running: int
@@ -67,6 +71,10 @@
     slots: int
     free_pieces: int
     draining: bool = False
+    ready_in: float = 0.0
+    interval: float = 0.0
+    prefill_token_s: float = 0.0
+    transfer_token_s: float = 0.0
 
 
 class Leaving(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -15,6 +15,11 @@
         within: seconds that the asker can wait for the slot.
         weight: fair-share weight of the workspace.
         priority: smaller is sooner.
+        tokens: prompt and output tokens that the work may take.
+        output: most tokens of the answer.
+        lead: seconds that the asker needs from the start of its prefill until
+            it uses the slot; zero to hold the slot before anything starts.
+        patient: whether the work waits behind what is not patient.
     """
 
     attempt: str
@@ -23,10 +28,18 @@
     within: float
     weight: float = 1.0
     priority: int = 0
+    tokens: int = 1
+    output: int = 0
+    lead: float = 0.0
+    patient: bool = False
 
 
 class Reserved(Message, frozen=True):
-    """A slot is promised: it is free in `ready_in` seconds, held for `term`."""
+    """A slot is expected in `ready_in` seconds; the lease is held for `term`.
+
+    It is promised, and the asker starts, once `ready_in` is at most the `lead`
+    that was asked for; until then the reservation waits in the queue.
+    """
 
     attempt: str
     ready_in: float
@@ -43,6 +56,8 @@
     within: float
     priority: int = 0
     fingerprint: str = ""
+    weight: float = 1.0
+    tokens: int = 1
 
 
 class Prefilled(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
+from ebonyglade.invariants import Invariants
 from ebonyglade.ports import (
     Clock,
     DecodeJob,
@@ -14,8 +15,9 @@
     ServiceCaller,
     Transport,
 )
-from ebonyglade.verdict import Verdict, refuse
+from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.base import Message
+from ebonyglade.wire.control import Load
 from ebonyglade.wire.work import (
     Cancel,
     Chunk,
@@ -27,13 +29,17 @@
     Prefilled,
     Renew,
     Reserve,
-    Reserved,
     Serve,
     Served,
 )
+from ebonyglade.worker.admission import Admission, Outlets
+from ebonyglade.worker.fair import FairQueue, Waiting
+from ebonyglade.worker.predict import Predictor
+from ebonyglade.worker.prefills import PrefillLine, TurnRefused
 from ebonyglade.worker.slots import SlotTable
 
 FIRST_CREDIT_TOKENS = 256
+MAX_WAITING = 128  # reservations or prefills that wait at one agent
 
 
 @dataclass(slots=True)
@@ -58,6 +64,7 @@
         clock: Clock,
         slots: SlotTable,
         prefill_slots: int = 1,
+        invariants: Invariants | None = None,
     ) -> None:
         self._engine = engine
         self._service = service
@@ -65,7 +72,17 @@
         self._clock = clock
         self._slots = slots
         self._jobs: dict[str, _Job] = {}
-        self._prefills = asyncio.Semaphore(prefill_slots)
+        invariants = invariants or Invariants()
+        self._admission = Admission(
+            slots,
+            FairQueue(MAX_WAITING, invariants),
+            Predictor(),
+            Outlets(self._send, self._refuse),
+            clock,
+        )
+        self._prefills = PrefillLine(
+            prefill_slots, FairQueue(MAX_WAITING, invariants), clock
+        )
         self._draining = False
         self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
             Reserve: self._on_reserve,
@@ -88,35 +105,57 @@
 
     def tick(self, now: float) -> None:
         """End the jobs whose leases ran out."""
-        for attempt in self._slots.expire(now):
-            self._stop_job(attempt)
+        for attempt in self._slots.overdue(now):
+            self._end(attempt)
+
+    def admit(self, now: float) -> None:
+        """Start and refuse waiting work as time goes on."""
+        self._admission.tick(now)
+
+    def load(self) -> Load:
+        """Return the load as it is told to entries."""
+        if self._prefills.running or self._prefills.token_s.value:
+            waiting, ready = len(self._prefills.queue), self._prefills.ready_in()
+            running, slots = self._prefills.running, self._prefills.slots
+        else:
+            waiting = self._admission.waiting
+            ready = self._admission.ready_in(self._clock())
+            running = self._slots.slots - self._slots.free_slots
+            slots = self._slots.slots
+        predictor = self._admission.predictor
+        return Load(
+            running,
+            waiting,
+            slots,
+            self._slots.free_pieces,
+            self._draining,
+            ready,
+            predictor.duration / self._slots.slots,
+            self._prefills.token_s.value,
+            predictor.transfer_token_s.value,
+        )
 
     def _on_reserve(self, sender: Sender, message: Reserve) -> None:
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
-        held = self._slots.reserve(
-            message.attempt, sender.instance, message.pieces, self._clock()
-        )
-        if not held:
-            self._fail(sender, message.attempt, "overloaded")
-            return
-        reply = Reserved(message.attempt, 0.0, self._slots.term)
-        self._transport.send(sender.instance, reply)
+        self._admission.reserve(sender, message, self._clock())
 
     def _on_prefill(self, sender: Sender, message: Prefill) -> None:
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
+        if message.attempt in self._jobs:
+            return
+        # Without renewal the prefill of an entry that is gone leaves the line.
+        self._slots.add(message.attempt, sender.instance, 0, self._clock())
         self._start(sender, message.attempt, self._prefill(sender, message))
 
     def _on_decode(self, sender: Sender, message: Decode) -> None:
-        if self._claims(sender, message.attempt):
-            self._start(sender, message.attempt, self._decode(sender, message))
+        self._claim(sender, message.attempt, self._decode, message)
 
     def _on_serve(self, sender: Sender, message: Serve) -> None:
-        if self._claims(sender, message.attempt):
-            self._start(sender, message.attempt, self._serve(sender, message))
+        self._claim(sender, message.attempt, self._serve, message)
 
     def _on_credit(self, sender: Sender, message: Credit) -> None:
         job = self._jobs.get(message.attempt)
@@ -126,24 +165,34 @@
 
     def _on_cancel(self, sender: Sender, message: Cancel) -> None:
         job = self._jobs.get(message.attempt)
-        if job is not None and job.holder.instance != sender.instance:
-            return
-        self._stop_job(message.attempt)
-        self._slots.release(message.attempt)
+        lease = self._slots.get(message.attempt)
+        holders = {job.holder.instance} if job else set()
+        holders |= {lease.holder} if lease else set()
+        if holders <= {sender.instance}:
+            self._end(message.attempt)
 
     def _on_renew(self, sender: Sender, message: Renew) -> None:
         now = self._clock()
         for attempt in message.attempts:
             self._slots.renew(attempt, sender.instance, now)
+        self._admission.renewed(sender, message.attempts)
 
-    def _claims(self, sender: Sender, attempt: str) -> bool:
-        """Return whether a job may start: its lease is in force, once."""
+    def _claim(
+        self,
+        sender: Sender,
+        attempt: str,
+        work: Callable[[Sender, Message], Coroutine[None, None, None]],
+        message: Message,
+    ) -> None:
+        """Start a job once, in the slot that its lease promises."""
         if attempt in self._jobs:
-            return False
-        if self._slots.holds(attempt, sender.instance, self._clock()):
-            return True
-        self._fail(sender, attempt, "endpoint_down", "The slot's lease ran out.")
-        return False
+            return
+
+        def start() -> None:
+            self._start(sender, attempt, work(sender, message))
+
+        if not self._admission.claim(sender, attempt, start, self._clock()):
+            self._fail(sender, attempt, "endpoint_down", "The slot's lease ran out.")
 
     def _start(
         self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
@@ -154,6 +203,7 @@
         job = _Job(sender)
         self._jobs[attempt] = job
         job.task = asyncio.ensure_future(self._run(sender, attempt, work))
+        job.task.add_done_callback(lambda task: self._ended(attempt, work))
 
     async def _run(
         self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
@@ -165,23 +215,33 @@
             verdict = Verdict.MAY_HAVE_RUN if error.ran else Verdict.NOT_RUN
             code = "endpoint_failed" if error.ran else "endpoint_down"
             self._fail(sender, attempt, code, str(error), verdict)
+        except TurnRefused as turned:
+            self._refuse(sender, attempt, turned.refusal)
         except TimeoutError:
             verdict = Verdict.MAY_HAVE_RUN if job.started else Verdict.NOT_RUN
             self._fail(sender, attempt, "deadline_exceeded", verdict=verdict)
-        finally:
-            self._jobs.pop(attempt, None)
-            self._slots.release(attempt)
 
     async def _prefill(self, sender: Sender, message: Prefill) -> None:
         job = self._jobs[message.attempt]
+        item = Waiting(
+            message.attempt,
+            message.workspace,
+            max(1, message.tokens),
+            message.weight,
+            self._clock() + message.within,
+        )
         try:
-            async with asyncio.timeout(message.within), self._prefills:
+            async with (
+                asyncio.timeout(message.within),
+                self._prefills.turn(item),
+            ):
                 job.started = True
                 result = await self._engine.prefill(
                     PrefillJob(
                         message.attempt, message.model, message.prompt, message.priority
                     )
                 )
+                self._prefills.observe(item, result.tokens - result.cached)
         except (TimeoutError, asyncio.CancelledError):
             if job.started:
                 await self._engine.cancel(message.attempt)
@@ -222,6 +282,7 @@
             chunk = Chunk(work.job, token.index, [token.text])
             self._transport.send(sender.instance, chunk)
             total = token.index + 1
+            self._admission.progressed(work.job, total, self._clock())
             while total >= job.credit:
                 job.more.clear()
                 await job.more.wait()
@@ -237,11 +298,20 @@
         reply = Served(message.attempt, served.status, served.headers, served.body)
         self._transport.send(sender.instance, reply)
 
-    def _stop_job(self, attempt: str) -> None:
+    def _end(self, attempt: str) -> None:
+        """Free what an attempt holds; a job's slot once its engine is rid of it."""
         job = self._jobs.get(attempt)
-        if job is not None and job.task is not None:
+        if job is None:
+            self._slots.release(attempt)
+        elif job.task is not None:
             job.task.cancel()
 
+    def _ended(self, attempt: str, work: Coroutine[None, None, None]) -> None:
+        # A task that is cancelled before its first step never enters its work.
+        work.close()
+        self._jobs.pop(attempt, None)
+        self._slots.release(attempt)
+
     def _fail(
         self,
         sender: Sender,
@@ -251,7 +321,17 @@
         verdict: Verdict | None = None,
     ) -> None:
         refusal = refuse(code, message=reason or None, verdict=verdict)
+        self._refuse(sender, attempt, refusal)
+
+    def _refuse(self, sender: Sender, attempt: str, refusal: Refusal) -> None:
         failed = Failed(
-            attempt, code, refusal.verdict.value, refusal.message, refusal.retry_after
+            attempt,
+            refusal.code,
+            refusal.verdict.value,
+            refusal.message,
+            refusal.retry_after,
         )
-        self._transport.send(sender.instance, failed)
+        self._send(sender, failed)
+
+    def _send(self, sender: Sender, message: Message) -> None:
+        self._transport.send(sender.instance, message)
--- /dev/null
+++ b/tests/helpers/places.py
@@ -0,0 +1,34 @@
+"""Views and sights that tests of placement share."""
+
+from ebonyglade.config.published import Instance
+from ebonyglade.config.view import View, _index_instances
+from ebonyglade.placement.choice import Sight
+from ebonyglade.placement.loads import Loads
+from ebonyglade.placement.prefixes import PrefixIndex
+from ebonyglade.placement.subset import Subsets
+
+POOL = "abstracts"
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+def view_of(entries: int, prefill: int, decode: int) -> View:
+    view = View()
+    for index in range(entries):
+        view.instances[f"entry-{index}"] = _instance("entry", index)
+    for stage, count in (("prefill", prefill), ("decode", decode)):
+        for index in range(count):
+            name = f"{stage}-{index}"
+            view.instances[name] = _instance("agent", index, stage)
+    _index_instances(view)
+    return view
+
+
+def sight_of(view: View, entry: str = "entry-0") -> Sight:
+    subsets = Subsets(entry)
+    return Sight(view, subsets, Loads(), PrefixIndex(), view.zone_of(entry))
+
+
+def _instance(role: str, index: int, stage: str = "") -> Instance:
+    zone = ZONES[index % len(ZONES)]
+    pool = POOL if stage else ""
+    return Instance(role=role, address="", zone=zone, pool=pool, stage=stage)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,161 @@
+import random
+from collections import Counter
+
+from ebonyglade.placement.choice import Ask, choose_endpoint, choose_pair
+from ebonyglade.placement.prefixes import HINT_AGE_S, PrefixIndex, prompt_blocks
+from ebonyglade.placement.subset import (
+    COVERING_ENTRIES,
+    SUBSET_ENDPOINTS,
+    Subsets,
+)
+from ebonyglade.wire.control import Load
+from helpers.places import POOL, sight_of, view_of
+
+PROMPT = "an announcement " * 640  # ten blocks
+
+
+class Unscannable(tuple):
+    """A tuple that can't be looked through as a whole."""
+
+    def __iter__(self):
+        raise AssertionError("all endpoints were looked at")
+
+
+def test_small_pools_are_used_whole():
+    view = view_of(2, 4, 4)
+    assert Subsets("entry-0").of(view, POOL, "decode") == view.endpoints(POOL, "decode")
+
+
+def test_subsets_are_bounded_and_cover_every_endpoint():
+    view = view_of(60, 0, 290)
+    subsets = [Subsets(name).of(view, POOL, "decode") for name in view.entries]
+    used = Counter(name for subset in subsets for name in subset)
+    assert min(used[name] for name in view.endpoints(POOL, "decode")) >= (
+        COVERING_ENTRIES
+    )
+    # Each entry picks its own, and covers its part of the endpoints' picks.
+    share = COVERING_ENTRIES * 290 / 60
+    assert max(map(len, subsets)) <= SUBSET_ENDPOINTS + 2.5 * share
+
+
+def test_subset_has_endpoints_in_several_zones():
+    view = view_of(60, 0, 290)
+    subset = Subsets("entry-1").of(view, POOL, "decode")
+    zones = Counter(view.zone_of(name) for name in subset)
+    assert len(zones) == 3
+
+
+def test_a_change_of_the_list_moves_little():
+    before, after = view_of(60, 0, 290), view_of(60, 0, 289)
+    subsets = Subsets("entry-0")
+    first = set(subsets.of(before, POOL, "decode"))
+    second = set(subsets.of(after, POOL, "decode"))
+    assert len(first ^ second) <= 2
+    assert second == set(Subsets("entry-0").of(after, POOL, "decode"))
+
+
+def test_changed_entries_give_the_same_subset_as_a_new_start():
+    subsets = Subsets("entry-0")
+    subsets.of(view_of(60, 0, 100), POOL, "decode")
+    for entries in (58, 64):
+        view = view_of(entries, 0, 100)
+        fresh = Subsets("entry-0").of(view, POOL, "decode")
+        assert subsets.of(view, POOL, "decode") == fresh
+
+
+def test_no_decision_looks_at_all_endpoints():
+    sight = sight_of(view_of(60, 290, 290))
+    rng = random.Random(1)
+    ask = Ask(POOL, 1000)
+    choose_pair(sight, ask, rng, 0.0)
+    for key, names in list(sight.view.pools.items()):
+        known = sight.subsets._known[key]
+        sight.view.pools[key] = Unscannable(names)
+        sight.subsets._known[key] = type(known)(
+            sight.view.pools[key], known.entries, known.subset
+        )
+    sight.view.instances = dict(sight.view.instances)
+    assert choose_pair(sight, ask, rng, 0.0) is not None
+    assert choose_endpoint(sight, POOL, "decode", set(), rng, 0.0) is not None
+
+
+def test_failed_and_avoided_endpoints_get_nothing():
+    sight = sight_of(view_of(1, 3, 3))
+    sight.loads.avoid.add("decode-0")
+    ask = Ask(POOL, 100, excluded={"decode-1", "prefill-2"})
+    pairs = [choose_pair(sight, ask, random.Random(seed), 0.0) for seed in range(50)]
+    assert {pair.decode for pair in pairs} == {"decode-2"}
+    assert {pair.prefill for pair in pairs} == {"prefill-0", "prefill-1"}
+    sight.loads.avoid |= {"decode-1", "decode-2"}
+    assert choose_pair(sight, ask, random.Random(1), 0.0) is None
+
+
+def test_a_lost_subset_leaves_the_rest_of_the_pool():
+    sight = sight_of(view_of(60, 290, 290))
+    sight.loads.avoid |= set(sight.subsets.of(sight.view, POOL, "decode"))
+    assert choose_pair(sight, Ask(POOL, 100), random.Random(1), 0.0) is not None
+
+
+def test_a_holder_of_the_prefix_is_chosen_unless_it_is_late():
+    sight = sight_of(view_of(1, 12, 1))
+    blocks = prompt_blocks(PROMPT)
+    assert len(blocks) == 10
+    sight.prefixes.apply("prefill-7", "a", 1, list(blocks), [], 0.0)
+    ask = Ask(POOL, 2560, blocks)
+    chosen = {choose_pair(sight, ask, random.Random(s), 1.0).prefill for s in range(20)}
+    assert chosen == {"prefill-7"}
+    busy = Load(1, 9, 1, 0, ready_in=2.0)
+    sight.loads.report("prefill-7", busy, 1.0)
+    chosen = {choose_pair(sight, ask, random.Random(s), 1.0).prefill for s in range(20)}
+    assert "prefill-7" not in chosen
+
+
+def test_the_sooner_slot_is_chosen():
+    sight = sight_of(view_of(1, 1, 2))
+    for name, ready in (("decode-0", 3.0), ("decode-1", 0.2)):
+        load = Load(20, 2, 20, 0, ready_in=ready, interval=0.1)
+        sight.loads.report(name, load, 0.0)
+    ask = Ask(POOL, 100)
+    assert choose_pair(sight, ask, random.Random(1), 0.0).decode == "decode-1"
+
+
+def test_own_work_since_the_report_counts():
+    sight = sight_of(view_of(1, 1, 2))
+    for name in ("decode-0", "decode-1"):
+        sight.loads.report(name, Load(20, 0, 20, 0, interval=0.1), 0.0)
+    chosen = Counter()
+    for seed in range(40):
+        name = choose_pair(sight, Ask(POOL, 1), random.Random(seed), 0.0).decode
+        sight.loads.begun(name, 1)
+        chosen[name] += 1
+    assert abs(chosen["decode-0"] - chosen["decode-1"]) <= 2
+
+
+def test_a_gap_in_the_reports_drops_what_was_known():
+    index, blocks = PrefixIndex(), prompt_blocks(PROMPT)
+    index.apply("p", "a", 4, list(blocks), [], 0.0)
+    index.apply("p", "a", 5, [], [blocks[-1]], 0.0)
+    assert index.cached_tokens("p", blocks, 0.0) == 9 * 256
+    index.apply("p", "a", 5, list(blocks), [], 0.0)
+    assert index.cached_tokens("p", blocks, 0.0) == 9 * 256
+    index.apply("p", "a", 7, [blocks[0]], [], 0.0)
+    assert index.cached_tokens("p", blocks, 0.0) == 256
+    assert index.gaps == 1
+    index.apply("p", "b", 8, [], [], 0.0)
+    assert index.cached_tokens("p", blocks, 0.0) == 0
+    assert len(index) == 0
+
+
+def test_hints_age_and_are_bounded():
+    index, blocks = PrefixIndex(most=4), prompt_blocks(PROMPT)
+    index.apply("p", "a", 1, list(blocks), [], 0.0)
+    assert len(index) == 4
+    index = PrefixIndex()
+    index.apply("p", "a", 1, list(blocks), [], 0.0)
+    assert index.cached_tokens("p", blocks, HINT_AGE_S + 1) == 0
+
+
+def test_blocks_stand_for_whole_prefixes():
+    other = "x" + PROMPT[1:]
+    assert not set(prompt_blocks(PROMPT)) & set(prompt_blocks(other))
+    assert prompt_blocks(PROMPT + "more")[:10] == prompt_blocks(PROMPT)
