Prove 200 concurrent prompts over separate processes

Change: the demo's route is patient, as summaries are for their users; the test of 200 streamed prompts over 2 entries, 4 prefill and 4 decode agents lands.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fleet.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fleet.py
@@ -190,6 +190,7 @@
         pool=MODEL_POOL,
         deadline_s=30.0,
         max_output_tokens=256,
+        patient=True,
     )
     publish(
         platform,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,5 @@
 import asyncio
+from itertools import cycle
 
 import aiohttp
 import pytest
@@ -22,10 +23,43 @@
         processes.stop_all()
 
 
+async def held_jobs(fleet, session):
+    held = []
+    for item in fleet.plan.instances:
+        if item.stage in ("prefill", "decode"):
+            async with session.get(item.url + "/v1/held") as answer:
+                held += (await answer.json())["jobs"]
+    return held
+
+
+async def ask_many(urls, prompts):
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        return await asyncio.gather(
+            *(
+                demo.ask(session, url, text)
+                for url, text in zip(cycle(urls), prompts, strict=False)
+            ),
+            return_exceptions=True,
+        )
+
+
 def expected(prompts):
     return ["".join(answer_tokens(text, demo.MAX_TOKENS)) for text in prompts]
 
 
+async def test_200_prompts_get_their_own_answers_and_memory_is_free(fleet):
+    prompts = [f"Seminar {number}: " + "words " * number for number in range(200)]
+    urls = [item.url for item in fleet.plan.of_role("entry")]
+    answers = await ask_many(urls, prompts)
+    assert answers == expected(prompts)
+    async with aiohttp.ClientSession() as session:
+        async with asyncio.timeout(10):
+            while await held_jobs(fleet, session):
+                await asyncio.sleep(0.1)
+
+
 async def test_stopping_each_process_in_turn_under_load_loses_no_request(fleet):
     """The balancer sends to an entry only while it is ready."""
     entries = fleet.plan.of_role("entry")
