Virtual engines: KV pieces, unreachable agents, confirmed cancels

Cause: fuzzing needs engines whose memory is limited, that can't always be reached and that confirm a cancel, and runs that are the same in every process. Change: pieces by job and export, a watcher that sees executions, cancels that raise unless they are confirmed, tasks cancelled in the order of their start, and fewer wake-ups of idle processes.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/process.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/process.py
@@ -23,7 +23,8 @@
     instance: str
     incarnation: str
     dead: bool = False
-    _tasks: set[asyncio.Task] = field(default_factory=set)
+    # A dict keeps the order in which tasks are cancelled the same in every run.
+    _tasks: dict[asyncio.Task, None] = field(default_factory=dict)
     _awake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -54,6 +55,9 @@
         """Go on, with everything decided before still in hand."""
         self._awake.set()
 
+    def _forget(self, task: asyncio.Task) -> None:
+        self._tasks.pop(task, None)
+
     async def awake(self) -> None:
         """Wait while the process stands still; a dead one never goes on."""
         await self._awake.wait()
@@ -78,8 +82,8 @@
         context = options.get("context")
         process = context[_current] if context else _current.get()
         if process is not None:
-            process._tasks.add(task)
-            task.add_done_callback(process._tasks.discard)
+            process._tasks[task] = None
+            task.add_done_callback(process._forget)
         return task
 
     loop.set_task_factory(factory)
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -20,12 +20,14 @@
     ServiceState,
     VirtualEngine,
     VirtualService,
+    Watcher,
 )
 from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
 from ebonyglade_lab.virtual.platform import VirtualPlatform
 from ebonyglade_lab.virtual.process import Process, track_tasks
 
 TICK_S = 0.05
+LONGEST_SLEEP_S = 0.25
 READ_S = 0.2
 PAUSE_S = 1.0
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -56,7 +58,7 @@
         refusal: why there is no whole answer.
         started: virtual seconds when the request was sent.
         first: virtual seconds of the first token; zero if there was none.
-        ended: virtual seconds when it was over.
+        ended: virtual seconds when it was over; zero while it is not.
     """
 
     tokens: list[str] = field(default_factory=list)
@@ -69,10 +71,21 @@
     ended: float = 0.0
 
 
+@dataclass(slots=True)
+class Sent:
+    """A request under way: its task in the entry and what the caller has."""
+
+    task: asyncio.Task
+    outcome: Outcome
+
+
 class World:
     """A small fleet; build and use it inside a virtual loop."""
 
-    def __init__(self, seed: int, strict: bool = True) -> None:
+    def __init__(
+        self, seed: int, strict: bool = True, watcher: Watcher | None = None
+    ) -> None:
+        self.watcher = watcher or Watcher()
         self.rng = random.Random(seed)
         self.network = Network(random.Random(seed + 1))
         self.platform = VirtualPlatform()
@@ -105,7 +118,7 @@
     ) -> Node:
         """List an agent with a model engine beside it and start it."""
         limits = limits or EndpointLimits()
-        state = EngineState(name, limits.slots)
+        state = EngineState(name, limits.slots, limits.pieces, watcher=self.watcher)
         self.engines[name] = state
 
         def make(context: Context, process: Process) -> AgentCore:
@@ -123,7 +136,7 @@
         limits: EndpointLimits | None = None,
     ) -> Node:
         """List an agent with a plain service beside it and start it."""
-        state = ServiceState(name)
+        state = ServiceState(name, watcher=self.watcher)
         self.services[name] = state
 
         def make(context: Context, process: Process) -> AgentCore:
@@ -196,14 +209,20 @@
 
     async def call(self, entry: str, call: Call) -> Outcome:
         """Send a request to an entry and return what the caller gets."""
+        sent = self.submit(entry, call)
+        await asyncio.wait([sent.task])
+        if not sent.task.cancelled() and sent.task.exception() is not None:
+            raise sent.task.exception()
+        return sent.outcome
+
+    def submit(self, entry: str, call: Call) -> Sent:
+        """Send a request to an entry without waiting for its end."""
         outcome = Outcome(started=self.now())
         node = self.nodes[entry]
         task = node.process.spawn(self._collect(node, call, outcome))
-        await asyncio.wait([task])
-        outcome.ended = self.now()
-        if not task.cancelled() and task.exception() is not None:
-            raise task.exception()
-        return outcome
+        sent = Sent(task, outcome)
+        task.add_done_callback(lambda task: self._ended(outcome))
+        return sent
 
     def model_call(self, key: str, prompt: str, max_tokens: int = 64) -> Call:
         """Return a model request as an entry's HTTP server would make it."""
@@ -259,6 +278,9 @@
             key=key,
         )
 
+    def _ended(self, outcome: Outcome) -> None:
+        outcome.ended = self.now()
+
     async def _collect(self, node: Node, call: Call, outcome: Outcome) -> None:
         call.view = node.core.config.view
         reply = await node.core.run(call)
@@ -295,7 +317,8 @@
                 self._read(node)
                 next_read = now + READ_S
             node.context.timers.fire(now)
-            await asyncio.sleep(TICK_S)
+            due = min(next_read - now, node.context.timers.delay(now, LONGEST_SLEEP_S))
+            await asyncio.sleep(max(TICK_S, due))
 
     def _read(self, node: Node) -> None:
         copy = self.platform.read(node.process.instance)
