Fuzz the decisions under seeded faults against an oracle

Cause: the promises hold over the whole fleet, where no single process sees them, and had no check that a fault can make fail. A hypothesis machine applies the same rules. Broken decisions are kept as tests that expect their violation. Checks whose mechanism is missing are off by a named constant.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -6,7 +6,9 @@
 
 import fire
 
+from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
 from ebonyglade_lab import demo
+from ebonyglade_lab.fuzz import command
 
 
 class Commands:
@@ -20,6 +22,17 @@
         if not report.good:
             sys.exit(1)
 
+    def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
+        """Run the decisions under seeded faults and judge them by an oracle."""
+        logging.basicConfig(level=logging.CRITICAL)
+        try:
+            good = command.fuzz(seeds, steps, jobs)
+        except UserError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_USER_ERROR)
+        if not good:
+            sys.exit(EXIT_FAILURE)
+
 
 def main() -> None:
     """Run the command line."""
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded runs of the real decisions under faults, judged by a simple oracle."""
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
@@ -0,0 +1,26 @@
+"""Bounds of the oracle's checks, and which of them have their mechanism."""
+
+# Seconds within which a change is in force at an undisturbed process.
+IN_FORCE_S = 4.0
+# Seconds within which a withdrawn key stops working.
+KEY_STOPS_S = 4.0
+# Seconds after which a leaving endpoint gets nothing new.
+LEAVING_S = 5.0
+# Seconds by which an answer may overrun its deadline.
+LATE_ANSWER_S = 1.0
+# Seconds without faults after which a request must not be cut off.
+SETTLED_S = 12.0
+# Most endpoints that one repeated request may crash.
+POISON_DEATHS = 6
+
+# Checks whose mechanism has not landed; each is turned on with it.
+CHECK_VERDICT_OVER_ATTEMPTS = False
+# Whether only one direction of a connection may go silent.
+ONE_WAY_SILENCE = False
+CHECK_MEMORY_LEASES = False
+CHECK_REPEATS_RUN_ONCE = False
+CHECK_RATES = False
+CHECK_POISON = False
+CHECK_STREAMS_OF_WITHDRAWN_KEYS = False
+CHECK_RESTARTED_REVISION = False
+CHECK_RELAYED_CONFIGURATION = False
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/sweeps.py
@@ -0,0 +1,128 @@
+"""Judges the state of processes and engines between two steps."""
+
+from dataclasses import dataclass, field
+
+from ebonyglade_lab.fuzz import checks
+from ebonyglade_lab.fuzz.oracle import Oracle
+from ebonyglade_lab.virtual.endpoints import EngineState
+from ebonyglade_lab.virtual.process import Process
+
+# Seconds after which memory of a request that is gone is free, as long as the
+# engine's agent runs and reaches it.
+MEMORY_FREE_S = 6.0
+
+
+@dataclass(slots=True)
+class Sweeps:
+    """Checks that compare one step with the one before.
+
+    Attributes:
+        oracle: raises the violations.
+        published: virtual seconds and revision of each change.
+        slowest_free: most seconds for which memory was held by requests gone.
+    """
+
+    oracle: Oracle
+    published: list[tuple[float, int]] = field(default_factory=list)
+    slowest_free: float = 0.0
+    _revisions: dict[Process, int] = field(default_factory=dict)
+    _newest: dict[str, int] = field(default_factory=dict)
+    _held_since: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def run(self, now: float) -> None:
+        """Run all checks."""
+        self.oracle.judge_ended()
+        self._check_revisions(now)
+        self._check_memory(now)
+        self._check_open(now)
+
+    def _due_revision(self, now: float) -> int:
+        """Return the newest revision that must be in force at calm processes."""
+        while len(self.published) > 1 and (
+            self.published[1][0] <= now - checks.IN_FORCE_S
+        ):
+            self.published.pop(0)
+        first = self.published[0]
+        return first[1] if first[0] <= now - checks.IN_FORCE_S else 0
+
+    def _check_revisions(self, now: float) -> None:
+        due = self._due_revision(now)
+        for name, node in self.oracle.world.nodes.items():
+            if node.process.dead:
+                self._revisions.pop(node.process, None)
+                continue
+            revision = node.core.config.view.revision
+            before = self._revisions.get(node.process, 0)
+            self.oracle.require(
+                revision >= before,
+                "configuration_never_reverts",
+                f"{name}: {before} -> {revision}",
+                {name},
+            )
+            self._revisions[node.process] = revision
+            if checks.CHECK_RESTARTED_REVISION and node.core.config.ready:
+                self._check_restarted(name, revision)
+            if self.oracle.calm.seconds(name, now) >= checks.IN_FORCE_S:
+                self.oracle.require(
+                    revision >= due,
+                    "configuration_in_force_in_time",
+                    f"{name} has {revision}, due is {due}",
+                    {name},
+                )
+
+    def _check_restarted(self, name: str, revision: int) -> None:
+        """An instance's next process starts from what the last one had."""
+        before = self._newest.get(name, 0)
+        self.oracle.require(
+            revision >= before,
+            "restart_never_reverts",
+            f"{name}: {before} -> {revision}",
+            {name},
+        )
+        self._newest[name] = revision
+
+    def _check_memory(self, now: float) -> None:
+        held: dict[tuple[str, str], float] = {}
+        for engine in self.oracle.world.engines.values():
+            if not (engine.jobs or engine.exports):
+                continue
+            for job in (*engine.jobs, *engine.exports):
+                if self.oracle.ledger.by_job[job].gone:
+                    self._judge_job(engine, job, now, held)
+        self._held_since = held
+
+    def _judge_job(
+        self,
+        engine: EngineState,
+        job: str,
+        now: float,
+        held: dict[tuple[str, str], float],
+    ) -> None:
+        process = self.oracle.world.nodes[engine.name].process
+        if process.dead or process.paused or engine.unreachable or engine.down:
+            return
+        key = (engine.name, job)
+        held[key] = self._held_since.get(key, now)
+        seconds = now - held[key]
+        self.slowest_free = max(self.slowest_free, seconds)
+        if not checks.CHECK_MEMORY_LEASES:
+            return
+        self.oracle.require(
+            seconds <= MEMORY_FREE_S,
+            "memory_of_gone_requests_is_free",
+            f"{engine.name} holds {job} for {seconds:.2f} s",
+            self.oracle.ledger.by_job[job].words,
+        )
+
+    def _check_open(self, now: float) -> None:
+        for operation, send in self.oracle.ledger.waiting:
+            node = self.oracle.world.nodes[send.entry]
+            if node.process.paused:
+                continue
+            over = now - max(send.deadline, self.oracle.woken.get(send.entry, 0.0))
+            self.oracle.require(
+                over <= checks.LATE_ANSWER_S,
+                "answered_in_time",
+                f"{send.name} is open {over:.2f} s after its deadline",
+                operation.words,
+            )
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -10,9 +10,11 @@
     EngineError,
     PrefillJob,
     PrefillResult,
+    Sender,
     ServiceReply,
     Token,
 )
+from ebonyglade.wire.base import Message
 from ebonyglade_lab.standins.answers import answer_tokens
 from ebonyglade_lab.virtual.process import Process
 
@@ -28,7 +30,13 @@
 
 
 class Watcher:
-    """Sees what endpoints execute; an oracle overrides what it needs."""
+    """Sees what a world does; an oracle overrides what it needs."""
+
+    def heard(self, instance: str, sender: Sender, message: Message) -> None:
+        """Note a message before its receiver handles it."""
+
+    def violated(self, instance: str, name: str) -> None:
+        """Note an invariant that failed inside a process."""
 
     def started(self, engine: str, stage: str, job: str, prompt: str) -> None:
         """Note that an engine began a job."""
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -179,7 +179,10 @@
             clock=loop.time,
             wall=loop.time,
             rng=random.Random(self.rng.getrandbits(64)),
-            invariants=Invariants(strict=self._strict),
+            invariants=Invariants(
+                strict=self._strict,
+                count=lambda counter, by: self.watcher.violated(name, counter),
+            ),
         )
         core = self._makers[name](context, process)
         transport.on_connect = core.peers.watch
@@ -284,6 +287,7 @@
     async def _collect(self, node: Node, call: Call, outcome: Outcome) -> None:
         call.view = node.core.config.view
         reply = await node.core.run(call)
+        await node.process.awake()
         if isinstance(reply, Err):
             outcome.refusal = reply.err_value
             return
@@ -335,5 +339,6 @@
         node.process.enter(self._handle, node, sender, message)
 
     def _handle(self, node: Node, sender: object, message: object) -> None:
+        self.watcher.heard(node.process.instance, sender, message)
         node.core.peers.heard(sender)
         node.context.deliver(sender, message)
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,83 @@
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from hypothesis.strategies import floats, integers, sampled_from
+
+from ebonyglade_lab.fuzz.command import fuzz
+from ebonyglade_lab.fuzz.driver import run_seed
+from ebonyglade_lab.fuzz.faults import FAULTS
+from ebonyglade_lab.fuzz.rules import LOAD
+from ebonyglade_lab.fuzz.run import START_S, Run
+from ebonyglade_lab.virtual.loop import VirtualLoop
+
+MOST_FAULTS = 3
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_check_fails_under_faults(seed):
+    result = run_seed(seed, 400)
+    assert result.violation == "", "\n".join(result.trace)
+    assert result.counts["model whole"] > 20
+    assert result.counts["booking whole"] > 10
+
+
+def test_a_seed_gives_the_same_run_each_time():
+    assert run_seed(3, 200) == run_seed(3, 200)
+
+
+def test_command_tells_of_a_violation(monkeypatch, capsys):
+    monkeypatch.setattr("ebonyglade_lab.fuzz.checks.LATE_ANSWER_S", -1000.0)
+    assert not fuzz("1:2", steps=20, jobs=1)
+    printed = capsys.readouterr().out
+    assert "answered_in_time" in printed
+    assert "FAILED seed 1" in printed
+
+
+class Fleet(RuleBasedStateMachine):
+    """The driver's rules in the order that hypothesis chooses."""
+
+    @initialize(seed=integers(0, 1000))
+    def start(self, seed):
+        self.loop = VirtualLoop()
+        self.run_ = self.loop.run_until_complete(self._build(seed))
+        self._pass(START_S)
+
+    @rule(name=sampled_from(sorted(LOAD)), seconds=floats(0.0, 0.3))
+    def load(self, name, seconds):
+        self._apply(LOAD[name], seconds)
+
+    @precondition(lambda self: self.run_.faults < MOST_FAULTS)
+    @rule(name=sampled_from(sorted(FAULTS)), seconds=floats(0.0, 0.3))
+    def fault(self, name, seconds):
+        self._apply(FAULTS[name], seconds)
+
+    @rule(seconds=floats(1.0, 10.0))
+    def wait(self, seconds):
+        self._pass(seconds)
+
+    def teardown(self):
+        self.loop.run_until_complete(self.run_.finish())
+
+    async def _build(self, seed):
+        return Run(seed)
+
+    def _apply(self, chosen, seconds):
+        self.loop.run_until_complete(self._do(chosen, seconds))
+
+    def _pass(self, seconds):
+        self.loop.run_until_complete(self.run_.pass_time(seconds))
+
+    async def _do(self, chosen, seconds):
+        chosen.apply(self.run_)
+        await self.run_.pass_time(seconds)
+
+
+Fleet.TestCase.settings = settings(
+    max_examples=8,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestFleet = Fleet.TestCase
--- /dev/null
+++ b/tests/test_fuzz_mutations.py
@@ -0,0 +1,126 @@
+"""Broken decisions, each of which the oracle must catch."""
+
+import pytest
+
+from ebonyglade.agent import AgentCore
+from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.store import ConfigStore
+from ebonyglade.config.view import Owner, View
+from ebonyglade.dispatch import attempts, filters, models
+from ebonyglade.dispatch.services import ServiceDispatcher
+from ebonyglade.worker.worker import Worker
+from ebonyglade_lab.fuzz.driver import run_seed
+
+STEPS = 1200
+
+
+def _repeat_tokens(patch):
+    patch.setattr(attempts, "_fresh", lambda chunk, progress: chunk.tokens)
+
+
+def _believe_any_end(patch):
+    patch.setattr(attempts, "_check_whole", lambda done, progress: None)
+    patch.setattr(attempts, "_fresh", lambda chunk, progress: chunk.tokens)
+
+
+def _deny_tokens(patch):
+    patch.setattr(models, "_truthful", lambda refusal, progress: refusal)
+
+
+def _repeat_bookings(patch):
+    patch.setattr(ServiceDispatcher, "_may_retry", lambda *args: True)
+
+
+def _take_any_snapshot(patch):
+    real = ConfigStore.apply_snapshot
+
+    def apply(self, revision, items):
+        self._revision = 0
+        return real(self, revision, items)
+
+    patch.setattr(ConfigStore, "apply_snapshot", apply)
+
+
+def _ignore_changes(patch):
+    real = ConfigController.take_snapshot
+
+    def take(self, revision, items):
+        if not self.ready:
+            real(self, revision, items)
+
+    patch.setattr(ConfigController, "take_snapshot", take)
+    patch.setattr(ConfigController, "heard_revision", lambda *args: None)
+
+
+def _obey_withdrawn_keys(patch):
+    real = View.owner_of
+
+    def owner_of(self, key):
+        owner = real(self, key)
+        return owner and Owner(owner.workspace, owner.team, withdrawn=False)
+
+    patch.setattr(View, "owner_of", owner_of)
+
+
+def _use_leaving_endpoints(patch):
+    def endpoints(self, pool, stage):
+        return [
+            name
+            for name, instance in self.instances.items()
+            if (instance.pool, instance.stage) == (pool, stage)
+        ]
+
+    patch.setattr(View, "endpoints", endpoints)
+
+
+def _serve_as_another(patch):
+    real = View.owner_of
+
+    def owner_of(self, key):
+        owner = real(self, key)
+        return owner and Owner("aula/history", "aula", owner.withdrawn)
+
+    patch.setattr(View, "owner_of", owner_of)
+
+
+def _pass_the_key_on(patch):
+    real = filters.identify
+
+    async def identify(call, proceed):
+        call.headers.append(("Authorization", call.key))
+        return await real(call, proceed)
+
+    patch.setattr("ebonyglade.entry.identify", identify)
+
+
+def _stop_under_load(patch):
+    patch.setattr(Worker, "busy", property(lambda self: 0))
+    patch.setattr(AgentCore, "drain", lambda self, known: None)
+
+
+MUTATIONS = {
+    "repeats tokens": (_repeat_tokens, "whole_and_own_answer", 0),
+    "believes any end": (_believe_any_end, "whole_and_own_answer", 0),
+    "denies that tokens came": (_deny_tokens, "refusal_not_run_is_true", 0),
+    "repeats bookings": (_repeat_bookings, "runs_at_most_once", 0),
+    "takes an old snapshot": (_take_any_snapshot, "configuration_never_reverts", 0),
+    "ignores changes": (_ignore_changes, "configuration_in_force_in_time", 0),
+    "obeys withdrawn keys": (_obey_withdrawn_keys, "withdrawn_key_stops_working", 0),
+    "uses leaving endpoints": (
+        _use_leaving_endpoints,
+        "leaving_endpoint_gets_nothing_new",
+        0,
+    ),
+    "serves as another": (_serve_as_another, "runs_only_for_its_workspace", 0),
+    "passes the key on": (_pass_the_key_on, "no_endpoint_sees_the_key", 0),
+    "stops under load": (_stop_under_load, "planned_stop_cuts_off_nothing", 4),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_broken_decision_is_caught(name, monkeypatch):
+    mutate, invariant, seed = MUTATIONS[name]
+    mutate(monkeypatch)
+    result = run_seed(seed, STEPS)
+    assert invariant in result.violation
+    assert result.trace
