Give broken lease decisions the time to show in tests

Cause: processes of the virtual world now sleep up to 0.25 s between ticks, so new instances were slower than the 2 s for which removed ones ran on, and two broken decisions did no harm in that time. Change: the tests' leases assume 4 s instead of 2 s after a removal; all tests use the same terms. Conclusion: the checks are as strict as before; the world's pace had changed.

--- a/tests/helpers/leases.py
+++ b/tests/helpers/leases.py
@@ -6,7 +6,7 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade_lab.virtual.world import ZONES, World
 
-TERMS = Terms(lease_s=1.0, removal_s=2.0, seal_s=2.0, groups=8)
+TERMS = Terms(lease_s=1.0, removal_s=4.0, seal_s=2.0, groups=8)
 STEP_S = 0.02
 
 
