Bind waiting requests late and predict slots by expected releases

Cause: the median of what is left of each job overstates when the first of twenty ends, and a request tied to one agent's queue missed free slots at others.

Change: a waiting request takes places at three agents and the first promise wins; the forecast counts expected releases from the observed lengths; what is predicted to miss its target is refused. Entries note prefixes they used.

--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: the decisions against their baselines, with fixed seeds."""
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from ebonyglade.calls import Call, StreamFailed
+from ebonyglade.dispatch.binding import PLACES, Binder, Candidate
 from ebonyglade.dispatch.exchange import Attempt, Exchange
-from ebonyglade.dispatch.reservation import reserve
 from ebonyglade.dispatch.waiting import wait_for
 from ebonyglade.placement.choice import Ask, Pair, choose_pair, choose_prefill
 from ebonyglade.placement.placer import Placer
@@ -33,6 +33,7 @@
 CHUNK_TIMEOUT_S = 5.0
 REPLAN_S = 0.05  # after so long a wait the prefill agent is chosen again
 LEAST_LEAD_S = 0.001
+LEAST_PATIENCE_S = 0.1  # for a slot, also when the first token will be late
 NO_ROOM = frozenset({"overloaded", "deadline_infeasible"})
 LEAST_PAUSE_S = 0.05  # before patient work asks again after a refusal
 
@@ -63,6 +64,7 @@
     clock: Clock
     rng: random.Random
     new_id: Callable[[], str]
+    places: int = PLACES
 
     async def run(self, call: Call, progress: Progress) -> AsyncIterator[list[str]]:
         """Yield the rest of an answer from one pair of endpoints.
@@ -73,7 +75,7 @@
         ask = self._ask_for(call, progress)
         pair, decode = await self._promised(call, progress, ask)
         try:
-            source = await self._prefill(call, progress, pair.prefill)
+            source = await self._prefill(call, progress, ask, pair.prefill)
             async for tokens in self._decode(call, progress, decode, source):
                 yield tokens
         finally:
@@ -87,12 +89,6 @@
             progress.excluded,
         )
 
-    def _choose(self, call: Call, ask: Ask) -> Pair:
-        pair = choose_pair(self.placer.sight(call.view), ask, self.rng, self.clock())
-        if pair is None:
-            raise StreamFailed(refuse("no_endpoint"))
-        return pair
-
     def _open(self, instance: str, tokens: int) -> Attempt:
         self.placer.loads.begun(instance, tokens)
         return self.exchange.open(self.new_id(), instance)
@@ -109,41 +105,50 @@
         Patient work asks again after a refusal for lack of room, for as long
         as its deadline can hold.
         """
+        asked_at = self.clock()
         while True:
-            pair = self._choose(call, ask)
-            decode = self._open(pair.decode, call.prompt.tokens)
-            try:
-                return await self._reserve(call, progress, ask, pair, decode), decode
-            except BaseException as failure:
-                self._close(decode)
-                if not _asks_again(call, failure):
-                    raise
-                pause = max(LEAST_PAUSE_S, failure.refusal.retry_after or 0.0)
+            bound = await self._binder(call, progress, ask).bind()
+            if isinstance(bound, Ok):
+                return self._replan(call, ask, bound.ok_value, asked_at)
+            if not _asks_again(call, bound.err_value):
+                raise StreamFailed(bound.err_value)
+            pause = max(LEAST_PAUSE_S, bound.err_value.retry_after or 0.0)
             pause *= 0.5 + self.rng.random()
             await asyncio.sleep(min(pause, self._left(call) / 4))
 
-    async def _reserve(
-        self, call: Call, progress: Progress, ask: Ask, pair: Pair, decode: Attempt
-    ) -> Pair:
-        """Wait until the prefill should start; return the pair that runs."""
-        asked_at = self.clock()
-        request = self._reservation(call, pair, decode)
-        answer = await reserve(self.exchange, decode, request, self.clock)
-        if isinstance(answer, Err):
-            if answer.err_value.code not in NO_ROOM:
-                progress.excluded.add(decode.instance)
-            raise StreamFailed(answer.err_value)
-        if self.clock() - asked_at < REPLAN_S:
-            return pair
-        sight = self.placer.sight(call.view)
-        again = choose_prefill(sight, ask, pair.decode, self.rng, self.clock())
-        return again or pair
+    def _binder(self, call: Call, progress: Progress, ask: Ask) -> Binder:
+        def propose(asked: set[str]) -> Candidate | None:
+            other = replace(ask, excluded=ask.excluded | asked)
+            sight = self.placer.sight(call.view)
+            pair = choose_pair(sight, other, self.rng, self.clock())
+            if pair is None:
+                return None
+            attempt = self._open(pair.decode, call.prompt.tokens)
+            return Candidate(pair, attempt, self._reservation(call, pair, attempt))
+
+        def give_up(candidate: Candidate, refusal: Refusal | None) -> None:
+            self._close(candidate.attempt)
+            if refusal is not None and refusal.code not in NO_ROOM:
+                progress.excluded.add(candidate.pair.decode)
+
+        return Binder(self.exchange, self.clock, propose, give_up, self.places)
+
+    def _replan(
+        self, call: Call, ask: Ask, bound: Candidate, asked_at: float
+    ) -> tuple[Pair, Attempt]:
+        """Choose the prefill agent again if the wait was long."""
+        pair, now = bound.pair, self.clock()
+        if now - asked_at >= REPLAN_S:
+            sight = self.placer.sight(call.view)
+            pair = choose_prefill(sight, ask, pair.decode, self.rng, now) or pair
+        return pair, bound.attempt
 
     def _reservation(self, call: Call, pair: Pair, decode: Attempt) -> Reserve:
         route = call.route.route
         tokens = call.prompt.tokens + call.max_tokens
-        left = self._left(call)
-        patience = left if route.patient else min(route.first_token_s, left)
+        patience = self._left(call)
+        if not route.patient:
+            patience = min(patience, self._until_target(call, pair))
         return Reserve(
             decode.id,
             call.workspace,
@@ -155,9 +160,22 @@
             call.max_tokens,
             max(pair.lead_s, LEAST_LEAD_S),
             route.patient,
+            self.places,
         )
 
-    async def _prefill(self, call: Call, progress: Progress, name: str) -> Prefilled:
+    def _until_target(self, call: Call, pair: Pair) -> float:
+        """Return the seconds within which a slot still meets the first target.
+
+        A prompt that is too long for the target gets at least a short wait.
+        """
+        route = call.route.route
+        passed = self.clock() - call.arrived
+        after = pair.transfer_s + route.between_tokens_s
+        return max(LEAST_PATIENCE_S, route.first_token_s - passed - after)
+
+    async def _prefill(
+        self, call: Call, progress: Progress, ask: Ask, name: str
+    ) -> Prefilled:
         attempt = self._open(name, call.prompt.tokens)
         try:
             within = self._left(call)
@@ -175,6 +193,7 @@
                 attempt, request, within, silent, Prefilled, progress
             )
             progress.prompt_tokens = answer.tokens
+            self.placer.prefixes.touch(name, ask.blocks, self.clock())
             # The export lives on in the engine until it is imported or evicted.
             attempt.ended = True
             return answer
@@ -255,10 +274,8 @@
         return left
 
 
-def _asks_again(call: Call, failure: BaseException) -> bool:
-    if not isinstance(failure, StreamFailed) or not call.route.route.patient:
-        return False
-    return failure.refusal.code in NO_ROOM
+def _asks_again(call: Call, refusal: Refusal) -> bool:
+    return call.route.route.patient and refusal.code in NO_ROOM
 
 
 def _fresh(chunk: Chunk, progress: Progress) -> list[str]:
--- a/packages/ebonyglade/src/ebonyglade/dispatch/reservation.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/reservation.py
@@ -1,6 +1,6 @@
 """Reservation of a slot at an agent, for model and service requests."""
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from ebonyglade.dispatch.exchange import Attempt, Exchange
 from ebonyglade.dispatch.waiting import wait_for
@@ -24,17 +24,36 @@
 
     Nothing runs before, so a lost answer is still `NOT_RUN`.
     """
+    answer = await answer_to(exchange, attempt, request)
+    if isinstance(answer, Err) or starts(answer.ok_value, request.lead):
+        return answer
+    return await promise_of(attempt, request, clock)
+
+
+async def answer_to(
+    exchange: Exchange, attempt: Attempt, request: Reserve
+) -> Result[Reserved, Refusal]:
+    """Ask for a slot and return the agent's first answer."""
     silent = refuse("endpoint_down")
     if not exchange.send(attempt, request):
         return Err(silent)
+    within = min(ANSWER_TIMEOUT_S, request.within + REFUSAL_MARGIN_S)
+    return _reserved(await wait_for(attempt, within, silent))
+
+
+async def promise_of(
+    attempt: Attempt, request: Reserve, clock: Clock
+) -> Result[Reserved, Refusal]:
+    """Wait until a place in the queue becomes a promise."""
     until = clock() + request.within + REFUSAL_MARGIN_S
-    answer = await wait_for(attempt, min(ANSWER_TIMEOUT_S, request.within), silent)
-    while isinstance(answer, Ok):
-        reserved = answer.ok_value
-        if not isinstance(reserved, Reserved):
-            return Err(refuse("internal", message="Unexpected answer."))
-        if starts(reserved, request.lead):
+    late = refuse("deadline_infeasible")
+    while True:
+        answer = _reserved(await wait_for(attempt, until - clock(), late))
+        if isinstance(answer, Err) or starts(answer.ok_value, request.lead):
             return answer
-        late = refuse("deadline_infeasible")
-        answer = await wait_for(attempt, until - clock(), late)
-    return answer
+
+
+def _reserved(answer: Result) -> Result[Reserved, Refusal]:
+    if isinstance(answer, Err) or isinstance(answer.ok_value, Reserved):
+        return answer
+    return Err(refuse("internal", message="Unexpected answer."))
--- a/packages/ebonyglade/src/ebonyglade/placement/choice.py
+++ b/packages/ebonyglade/src/ebonyglade/placement/choice.py
@@ -51,7 +51,7 @@
     pool: str
     tokens: int
     blocks: tuple[int, ...] = ()
-    excluded: frozenset[str] | set[str] = frozenset()
+    excluded: set[str] | frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +137,7 @@
 
 def _prefills(sight: Sight, ask: Ask, rng: random.Random, now: float) -> list[_Prefill]:
     names = _draw(sight, ask.pool, "prefill", ask.excluded, rng)
-    holder = sight.prefixes.best_holder(ask.blocks) if ask.blocks else None
+    holder = sight.prefixes.best_holder(ask.blocks, rng) if ask.blocks else None
     if holder is not None and _usable(sight, holder, ask.excluded):
         listed = sight.view.instances.get(holder)
         if holder not in names and listed and listed.pool == ask.pool:
--- a/packages/ebonyglade/src/ebonyglade/placement/prefixes.py
+++ b/packages/ebonyglade/src/ebonyglade/placement/prefixes.py
@@ -5,6 +5,7 @@
 known of it.
 """
 
+import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -45,7 +46,7 @@
     def __init__(self, most: int = MAX_HINTS) -> None:
         self._most = most
         self._endpoints: dict[str, _Endpoint] = {}
-        self._holders: dict[int, set[str]] = {}
+        self._holders: dict[int, dict[str, None]] = {}
         self._order: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.gaps = 0
 
@@ -85,6 +86,18 @@
         for block in stored:
             self._learn(endpoint, known, block, now)
 
+    def touch(self, endpoint: str, blocks: tuple[int, ...], now: float) -> None:
+        """Note that an endpoint just prefilled a prompt of this entry.
+
+        A prefix that is often found makes no more events, so this keeps what is
+        used from ageing, and brings it back after a gap.
+        """
+        known = self._endpoints.get(endpoint)
+        if known is None:
+            return
+        for block in blocks:
+            self._learn(endpoint, known, block, now)
+
     def drop(self, endpoint: str) -> None:
         """Forget all that is known of an endpoint's cache."""
         known = self._endpoints.get(endpoint)
@@ -107,22 +120,22 @@
             count += 1
         return count * BLOCK_TOKENS
 
-    def best_holder(self, blocks: tuple[int, ...]) -> str | None:
-        """Return an endpoint that may hold the longest part of a prompt."""
+    def best_holder(self, blocks: tuple[int, ...], rng: random.Random) -> str | None:
+        """Return one of the endpoints that may hold the longest part of a prompt."""
         low, high, found = 0, len(blocks), None
         # A holder of a block nearly always holds the blocks before it.
         while low < high:
             middle = (low + high) // 2
             holders = self._holders.get(blocks[middle])
             if holders:
-                found, low = next(iter(holders)), middle + 1
+                found, low = holders, middle + 1
             else:
                 high = middle
-        return found
+        return list(found)[int(rng.random() * len(found))] if found else None
 
     def _learn(self, endpoint: str, known: _Endpoint, block: int, now: float) -> None:
         known.blocks[block] = now
-        self._holders.setdefault(block, set()).add(endpoint)
+        self._holders.setdefault(block, {})[endpoint] = None
         key = (endpoint, block)
         self._order[key] = None
         self._order.move_to_end(key)
@@ -136,6 +149,6 @@
         if known is not None:
             known.blocks.pop(block, None)
         holders = self._holders[block]
-        holders.discard(endpoint)
+        holders.pop(endpoint, None)
         if not holders:
             del self._holders[block]
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -20,6 +20,7 @@
         lead: seconds that the asker needs from the start of its prefill until
             it uses the slot; zero to hold the slot before anything starts.
         patient: whether the work waits behind what is not patient.
+        places: agents at which the asker waits at the same time.
     """
 
     attempt: str
@@ -32,6 +33,7 @@
     output: int = 0
     lead: float = 0.0
     patient: bool = False
+    places: int = 1
 
 
 class Reserved(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/worker/admission.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/admission.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import operator
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -13,15 +14,14 @@
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade.wire.work import Reserve, Reserved
 from ebonyglade.worker.fair import LOOKAHEAD, FairQueue, Waiting
-from ebonyglade.worker.predict import Forecast, Predictor
+from ebonyglade.worker.predict import End, Forecast, Predictor, ends_of
 from ebonyglade.worker.slots import Hold, SlotTable
 
-EARLY_S = 0.1  # a promise is made so much before the slot is predicted to be free
-GIVE_UP_S = 0.25  # a prediction so much too late counts as certain
 LEAST_RETRY_S = 0.05
 MOST_RETRY_S = 30.0
 
 Start = Callable[[], None]
+_at = operator.attrgetter("at")
 
 
 @dataclass(slots=True)
@@ -50,13 +50,14 @@
     item: Waiting
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Charge:
     """What a workspace was charged: all tokens, and the prompt's part."""
 
     workspace: str
     tokens: float
     prompt: int
+    began: bool = False
 
 
 @dataclass(slots=True)
@@ -177,7 +178,8 @@
 
     def ready_in(self, now: float) -> float:
         """Return the predicted seconds until one more would have a slot."""
-        return self._forecast(now).ready(len(self.queue) + len(self._promised), 1)
+        waiting = sum(1.0 / max(1, a.message.places) for a in self._asked.values())
+        return self._forecast(now).ready(int(waiting) + len(self._promised), 1)
 
     def retry_after(self, now: float) -> float:
         """Return the seconds after which the queue has room again."""
@@ -226,7 +228,7 @@
         self.outlets.reserved(asked.sender, reply)
 
     def _ready_of(self, item: Waiting, now: float) -> float:
-        places = self._places(now)
+        places = self._places(now, certain=False)
         return next((ready for other, ready in places if other.id == item.id), 0.0)
 
     def _promised_before(self, item: Waiting) -> int:
@@ -237,15 +239,15 @@
         )
 
     def _forecast(self, now: float) -> "Forecast":
-        ends = [
-            (self.predictor.ends_in(lease.attempt, now), lease.pieces)
-            for lease in self.slots.held()
-        ]
+        ends: list[End] = []
+        for lease in self.slots.held():
+            choices = self.predictor.ends_in(lease.attempt, now)
+            ends.extend(ends_of(choices, lease.pieces))
         promised = sum(self.slots.get(name).pieces for name in self._promised)
         return Forecast(
             self.slots.free_slots,
             self.slots.free_pieces - promised,
-            sorted(ends),
+            sorted(ends, key=_at),
             self.predictor.duration,
             self.predictor.duration / self.slots.slots,
         )
@@ -257,21 +259,30 @@
 
     def _next(self, now: float) -> tuple[_Asked, float] | None:
         """Return the first work that should start, and when its slot is free."""
-        places = self._places(now)
+        places = self._places(now, certain=True)
         for item, ready in itertools.islice(places, LOOKAHEAD):
             lead = self._asked[item.id].message.lead
-            early = EARLY_S if lead else 0.0
-            if ready <= lead + early and now <= item.latest:
+            if ready <= lead and now <= item.latest:
                 return self._asked[item.id], ready
         return None
 
-    def _places(self, now: float) -> Iterator[tuple[Waiting, float]]:
-        """Yield waiting work in fair order, with its predicted wait."""
+    def _places(self, now: float, certain: bool) -> Iterator[tuple[Waiting, float]]:
+        """Yield waiting work in fair order, with its predicted wait.
+
+        Args:
+            now: monotonic seconds.
+            certain: whether all work ahead counts in full, also what waits at
+                other agents too and will mostly start there.
+        """
         forecast = self._forecast(now)
-        pieces = 0
-        for place, item in enumerate(self.queue.waiting(now)):
-            pieces += self._asked[item.id].message.pieces
-            yield item, forecast.ready(place + self._promised_before(item), pieces)
+        ahead, pieces = 0.0, 0.0
+        for item in self.queue.waiting(now):
+            message = self._asked[item.id].message
+            part = 1.0 if certain else 1.0 / max(1, message.places)
+            before = int(ahead) + self._promised_before(item)
+            yield item, forecast.ready(before, pieces + message.pieces)
+            ahead += part
+            pieces += part * message.pieces
 
     def _promise(self, asked: _Asked, ready: float, now: float) -> None:
         item = self.queue.grant(asked.item.id, now)
@@ -305,9 +316,10 @@
     def _began(self, message: Reserve, now: float) -> None:
         prompt = max(0, message.tokens - message.output)
         self.predictor.began(message.attempt, message.output, prompt, now)
+        self._charged[message.attempt].began = True
 
     def _give_up(self, now: float) -> None:
-        for item, ready in list(self._places(now)):
+        for item, ready in list(self._places(now, certain=False)):
             if item.id in self.queue and self._hopeless(item, ready, now):
                 self._refuse(item, "deadline_infeasible", ready)
 
@@ -315,7 +327,7 @@
         if now >= item.latest:
             return True
         # Patient work keeps its place for as long as its deadline may hold.
-        return not item.patient and now + ready > item.latest + GIVE_UP_S
+        return not item.patient and now + ready > item.latest
 
     def _refuse(self, item: Waiting, code: str, after: float) -> None:
         self.queue.remove(item.id)
@@ -333,6 +345,6 @@
         generated = self.predictor.ended(attempt, now)
         charge = self._charged.pop(attempt, None)
         if charge is not None:
-            used = charge.prompt + generated
+            used = charge.prompt + generated if charge.began else 0
             self.queue.settle(charge.workspace, charge.tokens, used)
         self.pump(now)
--- a/packages/ebonyglade/src/ebonyglade/worker/predict.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/predict.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 SAMPLES = 256
+QUANTILES = 8
+ROUNDING = 1e-6
 SMOOTHING = 0.1  # weight of a new sample in a moving average
 
 
@@ -31,13 +33,17 @@
         self._recent.append(length)
         bisect.insort(self._sorted, length)
 
-    def left(self, so_far: float) -> float:
-        """Return the median of what is left of one that got so far."""
+    def left(self, so_far: float) -> list[float]:
+        """Return equally likely values of what is left of one that got so far."""
         first = bisect.bisect_right(self._sorted, so_far)
         longer = len(self._sorted) - first
-        if longer:
-            return self._sorted[first + longer // 2] - so_far
-        return max(0.0, self.mean - so_far) or 0.1 * so_far
+        if not longer:
+            return [max(0.0, self.mean - so_far) or 0.1 * so_far]
+        step = longer / QUANTILES
+        return [
+            self._sorted[first + int((index + 0.5) * step)] - so_far
+            for index in range(QUANTILES)
+        ]
 
 
 @dataclass(slots=True)
@@ -120,15 +126,33 @@
             self._lengths.observe(running.tokens)
         return running.tokens
 
-    def ends_in(self, job: str, now: float) -> float:
-        """Return the predicted seconds until a job's slot is free."""
+    def ends_in(self, job: str, now: float) -> list[float]:
+        """Return equally likely values of the seconds until a slot is free."""
         running = self._running.get(job)
         if running is None:
-            return self._durations.mean
+            return self._durations.left(0.0)
         if not running.tokens:
             return self._durations.left(now - running.began)
-        left = min(self._lengths.left(running.tokens), running.most - running.tokens)
-        return max(0.0, left * self.token_s.value - (now - running.last))
+        most, passed = running.most - running.tokens, now - running.last
+        return [
+            max(0.0, min(left, most) * self.token_s.value - passed)
+            for left in self._lengths.left(running.tokens)
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """A part of a running job's end.
+
+    Attributes:
+        at: seconds from now.
+        share: probability that the job ends then.
+        pieces: KV pieces that are freed, times the probability.
+    """
+
+    at: float
+    share: float
+    pieces: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,18 +162,18 @@
     Attributes:
         slots: free slots.
         pieces: free KV pieces that are not promised.
-        ends: seconds until each running job ends and the pieces it holds, sorted.
+        ends: when running jobs may end, sorted.
         duration: mean seconds for which a job holds its slot.
         interval: mean seconds between two jobs that end.
     """
 
     slots: int
     pieces: int
-    ends: list[tuple[float, int]]
+    ends: list[End]
     duration: float
     interval: float
 
-    def ready(self, ahead: int, pieces: int) -> float:
+    def ready(self, ahead: int, pieces: float) -> float:
         """Return the seconds until there is a slot behind `ahead` others.
 
         Args:
@@ -159,23 +183,31 @@
         return max(self._slot(ahead + 1 - self.slots), self._memory(pieces))
 
     def _slot(self, missing: int) -> float:
-        if missing <= 0:
-            return 0.0
-        if missing <= len(self.ends):
-            return self.ends[missing - 1][0]
-        return self._last + (missing - len(self.ends)) * self.interval
-
-    def _memory(self, pieces: int) -> float:
+        """Return when as many jobs are expected to have ended."""
+        ended = 0.0
+        for end in self.ends if missing > 0 else ():
+            ended += end.share
+            if ended >= missing - ROUNDING:
+                return end.at
+        return 0.0 if missing <= 0 else self._last + (missing - ended) * self.interval
+
+    def _memory(self, pieces: float) -> float:
         free = self.pieces
         if free >= pieces:
             return 0.0
-        for end, freed in self.ends:
-            free += freed
-            if free >= pieces:
-                return end
+        for end in self.ends:
+            free += end.pieces
+            if free >= pieces - ROUNDING:
+                return end.at
         return self._last + self.interval
 
     @property
     def _last(self) -> float:
         """Seconds until jobs that did not begin yet may start to end."""
-        return max(self.ends[-1][0] if self.ends else 0.0, self.duration)
+        return max(self.ends[-1].at if self.ends else 0.0, self.duration)
+
+
+def ends_of(choices: list[float], pieces: int) -> list[End]:
+    """Return the parts of one job's end from equally likely values."""
+    share = 1.0 / len(choices)
+    return [End(at, share, pieces * share) for at in choices]
