--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/__init__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments: the decisions against their baselines, with fixed seeds."""
+"""Experiments that print a table and record it under docs/measurements."""
