Trust old load reports less and note agents that were found full

Change: a report counts half after 0.5 s, own open attempts make up the rest, and an agent without a free slot counts as full until its next report.

`python -m ebonyglade_lab choosing` makes both tables.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -8,7 +8,7 @@
 import fire
 
 from ebonyglade_lab import demo, deployment, operator, reference
-from ebonyglade_lab.experiments import idle
+from ebonyglade_lab.experiments import choosing, idle, placement
 from ebonyglade_lab.fleet import KEY, FleetSize
 
 
@@ -86,6 +86,25 @@
         table.record("idle")
         print(table.markdown())
 
+    def placement(self, jobs: int = 3) -> None:
+        """Compare ways to place requests, with their goodput and waste.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = placement.table(placement.measure_all(jobs))
+        table.record("placement")
+        print(table.markdown())
+
+    def choosing(self) -> None:
+        """Measure herding under lagging reports and what a choice costs."""
+        for name, table in (
+            ("herding", choosing.herding()),
+            ("choice-cost", choosing.cost()),
+        ):
+            table.record(name)
+            print(table.markdown())
+
     def reference(self) -> None:
         """Write docs/settings.md from the models of all settings."""
         reference.write()
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/placement.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/placement.py
@@ -19,6 +19,7 @@
 from ebonyglade_lab.experiments.bench import Bench, Size, on_time
 from ebonyglade_lab.experiments.bound import best_central
 from ebonyglade_lab.experiments.loads import Arrival, Shape, poisson
+from ebonyglade_lab.experiments.report import Table
 from ebonyglade_lab.virtual.loop import run
 
 SEEDS = (1, 2, 3)
@@ -149,36 +150,51 @@
         return pool.starmap(measure, tasks, chunksize=1)
 
 
-def table(rows: list[Row]) -> str:
-    """Return the means over seeds as a Markdown table."""
-    lines = [
-        "| Offered load | Variant | Goodput | Central bound | Goodput / bound "
-        "| Wasted prefill | Slots in use | Refused | Cached |",
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
-    ]
+def table(rows: list[Row]) -> Table:
+    """Return the means over seeds."""
+    result = Table(
+        "Placement: when to start a prefill",
+        "python -m ebonyglade_lab placement",
+        (
+            "Offered load",
+            "Variant",
+            "Goodput",
+            "Central bound",
+            "Goodput / bound, mean",
+            "worst seed",
+            "Wasted prefill",
+            "Slots in use",
+            "Refused",
+            "Cached",
+        ),
+    )
     for load, variant in dict.fromkeys((row.load, row.variant) for row in rows):
         group = [row for row in rows if (row.load, row.variant) == (load, variant)]
-        lines.append(_line(load, variant, group))
-    return "\n".join(lines)
+        result.add(*_cells(load, variant, group))
+    result.notes.append(
+        f"Seeds {SEEDS}, {SECONDS:.0f} virtual seconds each, the first {WARM_S:.0f} "
+        "not judged. Goodput is the share of requests that met both latency "
+        "targets; wasted prefill is a share of the prefilled tokens."
+    )
+    return result
 
 
-def _line(load: float, variant: str, group: list[Row]) -> str:
+def _cells(load: float, variant: str, group: list[Row]) -> list[str]:
     def mean(pick: Callable[[Row], float]) -> float:
         return statistics.fmean(pick(row) for row in group)
 
-    ratio = mean(lambda row: row.goodput / row.bound)
-    cells = (
+    return [
         f"{load:.2f}",
         variant,
         f"{mean(lambda row: row.goodput):.3f}",
         f"{mean(lambda row: row.bound):.3f}",
-        f"{ratio:.3f}",
+        f"{mean(lambda row: row.goodput / row.bound):.3f}",
+        f"{min(row.goodput / row.bound for row in group):.3f}",
         f"{100 * mean(lambda row: row.wasted):.2f}%",
         f"{mean(lambda row: row.occupancy):.3f}",
         f"{100 * mean(lambda row: row.refused):.2f}%",
         f"{100 * mean(lambda row: row.cached):.1f}%",
-    )
-    return "| " + " | ".join(cells) + " |"
+    ]
 
 
 def _as(variant: Variant) -> Callable[[EntryCore], None]:
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -131,7 +131,11 @@
             if refusal is not None and refusal.code not in NO_ROOM:
                 progress.excluded.add(candidate.pair.decode)
 
-        return Binder(self.exchange, self.clock, propose, give_up, self.places)
+        def waits(candidate: Candidate, ready_in: float) -> None:
+            loads = self.placer.loads
+            loads.found_full(candidate.pair.decode, ready_in, self.clock())
+
+        return Binder(self.exchange, self.clock, propose, give_up, waits, self.places)
 
     def _replan(
         self, call: Call, ask: Ask, bound: Candidate, asked_at: float
--- a/packages/ebonyglade/src/ebonyglade/dispatch/binding.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/binding.py
@@ -42,6 +42,7 @@
         clock: monotonic seconds.
         propose: returns the next candidate; None if there is no other agent.
         give_up: frees a candidate's place; told why if it failed.
+        waits: told of a candidate without a free slot, and its predicted wait.
         places: agents at which the request waits at the same time.
     """
 
@@ -49,6 +50,7 @@
     clock: Clock
     propose: Callable[[set[str]], Candidate | None]
     give_up: Callable[[Candidate, Refusal | None], None]
+    waits: Callable[[Candidate, float], None]
     places: int = PLACES
 
     async def bind(self) -> Result[Candidate, Refusal]:
@@ -66,6 +68,7 @@
             return answer
         if starts(answer.ok_value, first.request.lead):
             return Ok(first)
+        self.waits(first, answer.ok_value.ready_in)
         return await self._wait_at_several(first)
 
     async def _wait_at_several(self, first: Candidate) -> Result[Candidate, Refusal]:
@@ -104,6 +107,7 @@
             answer = await answer_to(self.exchange, attempt, request)
             if isinstance(answer, Err) or starts(answer.ok_value, request.lead):
                 return answer
+            self.waits(candidate, answer.ok_value.ready_in)
         return await promise_of(attempt, request, self.clock)
 
     def _leave(self, waits: dict[asyncio.Task, Candidate]) -> None:
--- a/packages/ebonyglade/src/ebonyglade/placement/choice.py
+++ b/packages/ebonyglade/src/ebonyglade/placement/choice.py
@@ -15,6 +15,7 @@
 DRAWS = 2  # random endpoints that are compared
 TRIES = 8  # random draws before the subset is looked through
 CROSS_ZONE_S = 0.004  # what a pair in two availability zones costs
+PRESSURE_S = 0.02  # what an agent with all slots in use costs more than an idle one
 COMPUTE_WEIGHT = 0.5  # weight of prefill time against time to the first token
 
 
@@ -101,8 +102,9 @@
     return min(
         names,
         key=lambda name: (
-            loads.slot_wait(name, now) + _distance(sight, sight.zone, name),
-            loads.counts[name],
+            loads.slot_wait(name, now)
+            + _distance(sight, sight.zone, name)
+            + PRESSURE_S * loads.pressure(name, now)
         ),
     )
 
@@ -113,13 +115,18 @@
     prefills = _prefills(sight, ask, rng, now)
     if not decodes or not prefills:
         return None
-    slots = {name: sight.loads.slot_wait(name, now) for name in decodes}
+    loads = sight.loads
+    slots = [(name, loads.slot_wait(name, now)) for name in decodes]
+    busy = {name: loads.pressure(name, now) for name in decodes}
     pairs = [
-        _pair(sight, ask, prefill, decode, slots[decode])
+        _pair(sight, ask, prefill, decode, slot_s)
         for prefill in prefills
-        for decode in decodes
+        for decode, slot_s in slots
     ]
-    return min(pairs, key=lambda pair: _cost(sight, *pair))[0]
+    return min(
+        pairs,
+        key=lambda pair: _cost(sight, *pair) + PRESSURE_S * busy[pair[0].decode],
+    )[0]
 
 
 def choose_prefill(
@@ -163,9 +170,7 @@
 def _cost(sight: Sight, pair: Pair, compute: float) -> float:
     first_token = max(pair.slot_s, pair.lead_s)
     apart = _distance(sight, sight.view.zone_of(pair.prefill), pair.decode)
-    busy = sight.loads.counts
-    used = busy[pair.decode] + busy[pair.prefill]
-    return first_token + apart + COMPUTE_WEIGHT * compute + used * 1e-6
+    return first_token + apart + COMPUTE_WEIGHT * compute
 
 
 def _distance(sight: Sight, zone: str, name: str) -> float:
--- a/packages/ebonyglade/src/ebonyglade/placement/loads.py
+++ b/packages/ebonyglade/src/ebonyglade/placement/loads.py
@@ -3,10 +3,15 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ebonyglade.wire.control import Load
 
 UNKNOWN_PREFILL_TOKEN_S = 0.0001  # until an agent has told its own figure
 UNKNOWN_TRANSFER_TOKEN_S = 0.00001
+UNKNOWN_SLOTS = 20
+OWN_SLOTS = 4  # slots of one agent that one entry uses when all are in use
+TRUST_S = 0.5  # age at which a report counts half
 REPORT_AGE_S = 10.0  # age at which a report counts no more
 
 
@@ -37,6 +42,16 @@
         """Take an agent's report of its load."""
         self._reports[endpoint] = _Report(load, now)
 
+    def found_full(self, endpoint: str, ready_in: float, now: float) -> None:
+        """Note that an agent just had no free slot, ahead of its next report."""
+        report = self._reports.get(endpoint)
+        if report is None:
+            return
+        load = msgspec.structs.replace(
+            report.load, running=report.load.slots, ready_in=ready_in
+        )
+        self._reports[endpoint] = _Report(load, now)
+
     def forget(self, endpoint: str) -> None:
         """Drop what a process told that is gone."""
         self._reports.pop(endpoint, None)
@@ -66,6 +81,17 @@
         since = max(0.0, load.ready_in - (now - report.at))
         return since + max(0, missing) * load.interval
 
+    def pressure(self, endpoint: str, now: float) -> float:
+        """Return the share of an agent's slots that is probably in use."""
+        report = self._fresh(endpoint, now)
+        if report is None:
+            return self.counts[endpoint] / UNKNOWN_SLOTS
+        load = report.load
+        told = (load.running + load.waiting + report.begun) / max(1, load.slots)
+        # An old report tells little, while the own attempts are always known.
+        trust = TRUST_S / (TRUST_S + max(0.0, now - report.at))
+        return trust * told + (1.0 - trust) * self.counts[endpoint] / OWN_SLOTS
+
     def prefill_wait(self, endpoint: str, now: float) -> float:
         """Return the predicted seconds until an agent starts one more prefill."""
         report = self._fresh(endpoint, now)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -159,3 +159,25 @@
     other = "x" + PROMPT[1:]
     assert not set(prompt_blocks(PROMPT)) & set(prompt_blocks(other))
     assert prompt_blocks(PROMPT + "more")[:10] == prompt_blocks(PROMPT)
+
+
+def test_an_old_report_counts_less_than_own_work():
+    sight = sight_of(view_of(1, 1, 2))
+    sight.loads.report("decode-0", Load(19, 0, 20, 0), 0.0)
+    sight.loads.report("decode-1", Load(10, 0, 20, 0), 0.0)
+    sight.loads.counts["decode-1"] = 4
+    chosen = [
+        choose_endpoint(sight, POOL, "decode", set(), random.Random(1), now)
+        for now in (0.0, 8.0)
+    ]
+    assert chosen == ["decode-1", "decode-0"]
+
+
+def test_an_agent_found_full_is_passed_over():
+    sight = sight_of(view_of(1, 1, 2))
+    for name in ("decode-0", "decode-1"):
+        sight.loads.report(name, Load(5, 0, 20, 0), 0.0)
+    sight.loads.found_full("decode-0", 0.4, 0.1)
+    assert choose_endpoint(sight, POOL, "decode", set(), random.Random(1), 0.1) == (
+        "decode-1"
+    )
