Run each call under a ticket at most once

Cause: a caller that lost its answer sends again, perhaps by another entry; an agent that was restarted or paused, and late copies of messages, could run a booking twice.

Change: POST /tickets/<path> gives an idempotency ticket that only the agent process that issued it accepts; reservations carry one-time grants; the agent checks its lease after the connection to the endpoint is open; the HTTP client sends each service call once. Keys of other forms are refused, not run, where a call may not be repeated.

Each mechanism has a test that fails without it.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from contextvars import ContextVar
 from dataclasses import dataclass
 
 import aiohttp
+from aiohttp.connector import Connection
 
 from ebonyglade.ports import (
     DecodeJob,
@@ -22,6 +24,40 @@
 NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
+@dataclass(slots=True)
+class _Send:
+    """The one sending of a service call."""
+
+    may_send: Callable[[], bool]
+    sent: bool = False
+
+
+_send: ContextVar[_Send | None] = ContextVar("send", default=None)
+
+
+class GivenUp(aiohttp.ClientError):
+    """A request was given up after its connection opened, before it was sent."""
+
+
+class _CheckedConnector(aiohttp.TCPConnector):
+    """Lets a service call be sent once, if it still may be once connected."""
+
+    async def connect(self, *args: object, **options: object) -> Connection:
+        """Return an open connection, or give up before a byte is written."""
+        send = _send.get()
+        if send is not None and send.sent:
+            # The library repeats methods that HTTP calls idempotent by itself.
+            raise aiohttp.ServerDisconnectedError("connection lost")
+        connection = await super().connect(*args, **options)
+        if send is None:
+            return connection
+        if not send.may_send():
+            connection.close()
+            raise GivenUp("given up before it was sent")
+        send.sent = True
+        return connection
+
+
 def new_session() -> aiohttp.ClientSession:
     """Return a session without limits on connections or total time.
 
@@ -29,7 +65,7 @@
     request is repeated by the library.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=_CheckedConnector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -119,9 +155,16 @@
     session: aiohttp.ClientSession
 
     async def call(
-        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        may_send: Callable[[], bool],
     ) -> ServiceReply:
         """Make one call; redirects go back to the caller."""
+        send = _Send(may_send)
+        _send.set(send)
         try:
             async with self.session.request(
                 method,
@@ -135,8 +178,10 @@
                     (str(name), value) for name, value in answer.headers.items()
                 ]
                 return ServiceReply(answer.status, received, content)
+        except GivenUp as error:
+            raise EngineError(str(error), ran=False) from error
         except aiohttp.ClientError as error:
-            raise _as_engine_error(error) from error
+            raise _as_engine_error(error, send.sent) from error
 
 
 async def _check(answer: aiohttp.ClientResponse) -> None:
@@ -156,6 +201,6 @@
         yield line
 
 
-def _as_engine_error(error: aiohttp.ClientError) -> EngineError:
-    sent = not isinstance(error, NOT_SENT)
-    return EngineError(f"{type(error).__name__}: {error}", ran=sent, lost=True)
+def _as_engine_error(error: aiohttp.ClientError, sent: bool = False) -> EngineError:
+    ran = sent or not isinstance(error, NOT_SENT)
+    return EngineError(f"{type(error).__name__}: {error}", ran=ran, lost=True)
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from ebonyglade.ports import (
@@ -162,10 +162,17 @@
     process: Process
 
     async def call(
-        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        may_send: Callable[[], bool],
     ) -> ServiceReply:
         """Execute one call."""
         await self.process.awake()
+        if not may_send():
+            raise EngineError("given up before it was sent", ran=False)
         if self.state.down:
             raise EngineError("connection refused", ran=False, lost=True)
         self.state.executions[body] += 1
--- a/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
@@ -48,6 +48,7 @@
             clock=clock,
             wall=time.time,
             rng=random.Random(secrets.randbits(128)),
+            token_bytes=secrets.token_bytes,
             count=self.metrics.count,
             invariants=Invariants(count=self.metrics.count),
         )
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -7,12 +7,16 @@
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.members.peers import Peers
+from ebonyglade.once.book import TicketBook
+from ebonyglade.once.desk import TicketDesk
+from ebonyglade.once.grants import Grants
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
 EXPIRE_S = 0.25
+FORGET_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +49,8 @@
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        book = TicketBook(context.me, context.token_bytes)
+        self.desk = TicketDesk(book, context.transport, context.clock)
         self.worker = Worker(
             engine,
             service,
@@ -52,11 +58,15 @@
             context.clock,
             SlotTable(limits.slots, limits.pieces, limits.lease_s),
             limits.prefill_slots,
+            desk=self.desk,
+            grants=Grants(context.new_id),
         )
         self.peers.revision = lambda: self.config.store.revision
         self.peers.on_revision = self.config.heard_revision
         context.handle(self.worker.handlers)
+        context.handle(self.desk.handlers)
         context.every(EXPIRE_S, self.worker.tick)
+        context.every(FORGET_S, self.desk.tick)
 
     def drain(self, known: Callable[[], list[str]]) -> None:
         """Announce a planned stop and refuse new work."""
--- a/packages/ebonyglade/src/ebonyglade/calls.py
+++ b/packages/ebonyglade/src/ebonyglade/calls.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from ebonyglade.config.view import Owner, RouteEntry, View
+from ebonyglade.once.ticket import Ticket
 from ebonyglade.verdict import Refusal
 
 Headers = list[tuple[str, str]]
@@ -46,6 +47,9 @@
         owner: workspace that the request runs for.
         route: route that serves it.
         deadline: monotonic seconds by which it must be answered.
+        ticket: what the idempotency key says, if it is a ticket.
+        wants_ticket: whether the caller asks for a ticket for this route.
+        settled: whether the ticket's owner said how the call ended.
     """
 
     id: str
@@ -61,6 +65,9 @@
     owner: Owner | None = None
     route: RouteEntry | None = None
     deadline: float = 0.0
+    ticket: Ticket | None = None
+    wants_ticket: bool = False
+    settled: bool = False
 
     @property
     def workspace(self) -> str:
--- a/packages/ebonyglade/src/ebonyglade/context.py
+++ b/packages/ebonyglade/src/ebonyglade/context.py
@@ -44,6 +44,7 @@
         clock: monotonic seconds; runs on during a pause.
         wall: seconds of the wall clock, for logs and audit only.
         rng: source of randomness.
+        token_bytes: returns unpredictable bytes for secrets.
         count: adds to a named counter.
         timers: calls subscribers at their intervals.
         events: named events that parts hook into.
@@ -56,12 +57,17 @@
     clock: Clock
     wall: Clock
     rng: random.Random
+    token_bytes: Callable[[int], bytes] | None = None
     count: Callable[..., None] = _ignore
     timers: TimerService = field(default_factory=TimerService)
     events: Events = field(default_factory=Events)
     invariants: Invariants = field(default_factory=Invariants)
     handlers: dict[type[Message], Handler] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        if self.token_bytes is None:
+            self.token_bytes = self.rng.randbytes
+
     def handle(self, handlers: dict[type[Message], Handler]) -> None:
         """Add handlers by message type."""
         self.handlers.update(handlers)
--- a/packages/ebonyglade/src/ebonyglade/dispatch/filters.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/filters.py
@@ -30,7 +30,8 @@
     if not allowed:
         return Err(refuse("key_missing"))
     call.route = _preferred(call.owner, allowed)
-    if call.prompt is None and call.method not in call.route.route.methods:
+    is_service = call.prompt is None and not call.wants_ticket
+    if is_service and call.method not in call.route.route.methods:
         return Err(refuse("method_not_allowed"))
     if call.owner is None:
         call.owner = _OPEN_OWNER
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -1,5 +1,6 @@
 """Service calls: one HTTP call at one endpoint, passed through."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -41,7 +42,7 @@
             )
             if name is None:
                 return Err(refuse("no_endpoint"))
-            reply = await self._attempt(call, name)
+            reply = await self.attempt(call, name)
             if isinstance(reply, Ok) or not self._may_retry(call, reply.err_value):
                 return reply
             excluded.add(name)
@@ -54,14 +55,22 @@
             return True
         return call.method in call.route.route.repeatable
 
-    async def _attempt(self, call: Call, name: str) -> Reply:
+    async def attempt(self, call: Call, name: str, patience: float = math.inf) -> Reply:
+        """Make one attempt at one agent; Err tells whether it may have run.
+
+        Args:
+            call: what to run.
+            name: the agent.
+            patience: seconds after which a call that was sent is left running
+                and reported as in progress.
+        """
         attempt = self.exchange.open(self.new_id(), name)
         self.inflight.counts[name] += 1
         try:
             reserved = await self._reserve(call, attempt)
             if isinstance(reserved, Err):
                 return reserved
-            return await self._serve(call, attempt)
+            return await self._serve(call, attempt, reserved.ok_value.grant, patience)
         finally:
             self.inflight.counts[name] -= 1
             self.exchange.close(attempt)
@@ -80,8 +89,11 @@
             return Err(refuse("endpoint_down"))
         return await wait_for(attempt, within, refuse("endpoint_down"))
 
-    async def _serve(self, call: Call, attempt: Attempt) -> Reply:
+    async def _serve(
+        self, call: Call, attempt: Attempt, grant: str, patience: float
+    ) -> Reply:
         within = call.deadline - self.clock()
+        silent = refuse("deadline_exceeded" if within < patience else "in_progress")
         if within <= 0:
             return Err(refuse("deadline_exceeded", verdict=Verdict.NOT_RUN))
         request = Serve(
@@ -92,11 +104,12 @@
             call.headers,
             call.body,
             within,
-            key=call.idempotency_key,
+            key=call.idempotency_key if call.ticket else "",
+            grant=grant,
         )
         if not self.exchange.send(attempt, request):
             return Err(refuse("endpoint_down"))
-        answer = await wait_for(attempt, within, refuse("deadline_exceeded"))
+        answer = await wait_for(attempt, min(within, patience), silent)
         if isinstance(answer, Err):
             return answer
         served = answer.ok_value
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -9,12 +9,18 @@
 from ebonyglade.dispatch.filters import check_size, find_route, identify
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.dispatch.services import ServiceDispatcher
+from ebonyglade.dispatch.tickets import (
+    TicketDispatcher,
+    read_ticket,
+    require_ticket,
+)
 from ebonyglade.events import Event
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
 from ebonyglade.ports import Sender
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
+from ebonyglade.wire.once import Recalled, TicketGiven
 from ebonyglade.wire.work import (
     Chunk,
     Done,
@@ -26,7 +32,7 @@
 )
 
 RENEW_S = 0.5
-ANSWERS = (Reserved, Prefilled, Chunk, Done, Served, Failed)
+ANSWERS = (Reserved, Prefilled, Chunk, Done, Served, Failed, TicketGiven, Recalled)
 
 
 class EntryCore:
@@ -42,12 +48,19 @@
         pairs = PairAttempts(*parts, context.new_id)
         self.models = ModelDispatcher(pairs, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id)
-        self.run = Chain([identify, find_route, check_size]).around(self._dispatch)
+        self.tickets = TicketDispatcher(self.services)
+        filters = [read_ticket, identify, find_route, check_size, require_ticket]
+        self.run = Chain(filters).around(self._dispatch)
         self._wire()
 
     async def _dispatch(self, call: Call) -> Reply:
-        dispatcher = self.services if call.prompt is None else self.models
-        return await dispatcher.run(call)
+        if call.prompt is not None:
+            return await self.models.run(call)
+        if call.wants_ticket:
+            return await self.tickets.issue(call)
+        if call.ticket is not None:
+            return await self.tickets.run(call)
+        return await self.services.run(call)
 
     def _wire(self) -> None:
         self.peers.revision = lambda: self.config.store.revision
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/once/__init__.py
@@ -0,0 +1,1 @@
+"""At most one execution of what may not be repeated."""
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/once/ticket.py
@@ -0,0 +1,92 @@
+"""Idempotency tickets: tokens that name the process that may redeem them."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+PREFIX = "egt1"
+NONCE_BYTES = 12
+MAC_BYTES = 16
+SECRET_BYTES = 32
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True):
+    """What a ticket says.
+
+    Attributes:
+        agent: instance id of the agent that issued it.
+        incarnation: process that issued it; no other accepts it.
+        route: name of the route it is for.
+        nonce: makes it unique.
+        expires: the issuer's monotonic seconds after which nothing starts.
+    """
+
+    agent: str
+    incarnation: str
+    route: str
+    nonce: bytes
+    expires: float
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Ticket)
+
+
+def looks_like_ticket(key: str) -> bool:
+    """Return whether an idempotency key has the form of a ticket."""
+    return key.startswith(PREFIX + ".")
+
+
+def seal(ticket: Ticket, workspace: str, secret: bytes) -> str:
+    """Return a ticket's text, bound to a workspace by a MAC."""
+    payload = _encoder.encode(ticket)
+    mac = _mac(payload, workspace, secret)
+    return f"{PREFIX}.{_to_text(payload)}.{_to_text(mac)}"
+
+
+def read(text: str) -> Ticket | None:
+    """Return what a ticket says, unverified; None if it can't be read."""
+    parts = text.split(".")
+    if len(parts) != 3 or parts[0] != PREFIX:
+        return None
+    try:
+        return _decoder.decode(_to_bytes(parts[1]))
+    except (msgspec.MsgspecError, binascii.Error, ValueError):
+        return None
+
+
+def genuine(text: str, workspace: str, secret: bytes) -> bool:
+    """Return whether a ticket was sealed for a workspace with this secret."""
+    parts = text.split(".")
+    if len(parts) != 3:
+        return False
+    try:
+        payload, mac = _to_bytes(parts[1]), _to_bytes(parts[2])
+    except (binascii.Error, ValueError):
+        return False
+    return hmac.compare_digest(mac, _mac(payload, workspace, secret))
+
+
+def request_digest(method: str, path: str, body: bytes) -> str:
+    """Return a digest that tells requests under one ticket apart."""
+    hashed = hashlib.sha256()
+    for part in (method.encode(), path.encode(), body):
+        hashed.update(len(part).to_bytes(8, "big"))
+        hashed.update(part)
+    return hashed.hexdigest()
+
+
+def _mac(payload: bytes, workspace: str, secret: bytes) -> bytes:
+    message = payload + b"\0" + workspace.encode()
+    return hmac.digest(secret, message, "sha256")[:MAC_BYTES]
+
+
+def _to_text(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _to_bytes(text: str) -> bytes:
+    return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
--- a/packages/ebonyglade/src/ebonyglade/ports.py
+++ b/packages/ebonyglade/src/ebonyglade/ports.py
@@ -68,9 +68,19 @@
     """What an agent needs from the plain service beside it."""
 
     async def call(
-        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        may_send: Callable[[], bool],
     ) -> ServiceReply:
-        """Make one HTTP call; raises `EngineError` if it fails."""
+        """Make one HTTP call; raises `EngineError` if it fails.
+
+        `may_send` is asked once, right before the first byte is sent; if it
+        returns False, nothing is sent and the error says that nothing ran.
+        Nothing is ever sent a second time.
+        """
         ...
 
 
--- a/packages/ebonyglade/src/ebonyglade/wire/codec.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/codec.py
@@ -5,11 +5,11 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ebonyglade.wire import control, work
+from ebonyglade.wire import control, once, work
 from ebonyglade.wire.base import Message
 
 # Each module of messages lists its own; a new module is added here.
-AnyMessage = Union[(*control.MESSAGES, *work.MESSAGES)]
+AnyMessage = Union[(*control.MESSAGES, *work.MESSAGES, *once.MESSAGES)]
 
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 16 * 1024 * 1024
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -26,11 +26,15 @@
 
 
 class Reserved(Message, frozen=True):
-    """A slot is promised: it is free in `ready_in` seconds, held for `term`."""
+    """A slot is promised: it is free in `ready_in` seconds, held for `term`.
+
+    A `Serve` under this reservation must carry its `grant`.
+    """
 
     attempt: str
     ready_in: float
     term: float
+    grant: str = ""
 
 
 class Prefill(Message, frozen=True):
@@ -105,6 +109,7 @@
     within: float
     key: str = ""
     fingerprint: str = ""
+    grant: str = ""
 
 
 class Served(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
+from ebonyglade.once.desk import TicketDesk
+from ebonyglade.once.grants import Grants, Use
 from ebonyglade.ports import (
     Clock,
     DecodeJob,
@@ -35,17 +37,38 @@
 
 FIRST_CREDIT_TOKENS = 256
 
+# How a request with a grant that can't be used is refused.
+_UNUSABLE = {
+    Use.TOO_LATE: ("endpoint_down", "The slot's lease ran out.", Verdict.NOT_RUN),
+    Use.UNKNOWN: ("agent_lost", "The agent was restarted.", Verdict.MAY_HAVE_RUN),
+}
+
 
 @dataclass(slots=True)
 class _Job:
-    """A job at the endpoint."""
+    """A job at the endpoint.
+
+    Attributes:
+        holder: who asked for it.
+        task: runs it.
+        started: whether the endpoint may have seen it.
+        key: idempotency ticket whose execution has not been settled.
+        credit: tokens that may be sent ahead.
+        more: set when the credit grows.
+    """
 
     holder: Sender
     task: asyncio.Task | None = None
     started: bool = False
+    key: str = ""
     credit: int = FIRST_CREDIT_TOKENS
     more: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def kept(self) -> bool:
+        """Whether it goes on without its holder, for repeats of its ticket."""
+        return self.started and bool(self.key)
+
 
 class Worker:
     """Handles the messages of entries and runs jobs at the endpoint."""
@@ -58,12 +81,17 @@
         clock: Clock,
         slots: SlotTable,
         prefill_slots: int = 1,
+        *,
+        desk: TicketDesk,
+        grants: Grants,
     ) -> None:
         self._engine = engine
         self._service = service
         self._transport = transport
         self._clock = clock
         self._slots = slots
+        self._desk = desk
+        self._grants = grants
         self._jobs: dict[str, _Job] = {}
         self._prefills = asyncio.Semaphore(prefill_slots)
         self._draining = False
@@ -101,7 +129,8 @@
         if not held:
             self._fail(sender, message.attempt, "overloaded")
             return
-        reply = Reserved(message.attempt, 0.0, self._slots.term)
+        grant = self._grants.issue(message.attempt)
+        reply = Reserved(message.attempt, 0.0, self._slots.term, grant)
         self._transport.send(sender.instance, reply)
 
     def _on_prefill(self, sender: Sender, message: Prefill) -> None:
@@ -115,8 +144,17 @@
             self._start(sender, message.attempt, self._decode(sender, message))
 
     def _on_serve(self, sender: Sender, message: Serve) -> None:
-        if self._claims(sender, message.attempt):
+        in_force = self._slots.holds(message.attempt, sender.instance, self._clock())
+        use = self._grants.use(message.attempt, message.grant, in_force)
+        if use is Use.REPEATED:
+            return
+        if use is not Use.START:
+            self._fail(sender, message.attempt, *_UNUSABLE[use])
+        elif self._desk.begin(sender, message):
             self._start(sender, message.attempt, self._serve(sender, message))
+            self._jobs[message.attempt].key = message.key
+        else:
+            self._slots.release(message.attempt)
 
     def _on_credit(self, sender: Sender, message: Credit) -> None:
         job = self._jobs.get(message.attempt)
@@ -128,6 +166,8 @@
         job = self._jobs.get(message.attempt)
         if job is not None and job.holder.instance != sender.instance:
             return
+        if job is not None and job.kept:
+            return
         self._stop_job(message.attempt)
         self._slots.release(message.attempt)
 
@@ -154,6 +194,8 @@
         job = _Job(sender)
         self._jobs[attempt] = job
         job.task = asyncio.ensure_future(self._run(sender, attempt, work))
+        # A task that is cancelled before its first step runs no code of its own.
+        job.task.add_done_callback(lambda task: self._ended(attempt))
 
     async def _run(
         self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
@@ -168,9 +210,11 @@
         except TimeoutError:
             verdict = Verdict.MAY_HAVE_RUN if job.started else Verdict.NOT_RUN
             self._fail(sender, attempt, "deadline_exceeded", verdict=verdict)
-        finally:
-            self._jobs.pop(attempt, None)
-            self._slots.release(attempt)
+
+    def _ended(self, attempt: str) -> None:
+        job = self._jobs.pop(attempt)
+        self._slots.release(attempt)
+        self._desk.fail(job.key, job.started)
 
     async def _prefill(self, sender: Sender, message: Prefill) -> None:
         job = self._jobs[message.attempt]
@@ -229,17 +273,34 @@
 
     async def _serve(self, sender: Sender, message: Serve) -> None:
         job = self._jobs[message.attempt]
-        job.started = True
-        async with asyncio.timeout(message.within):
-            served = await self._service.call(
-                message.method, message.path, message.headers, message.body
+
+        def may_send() -> bool:
+            """Check that what was decided still stands, as after a pause."""
+            job.started = self._slots.holds(
+                message.attempt, sender.instance, self._clock()
             )
+            return job.started
+
+        try:
+            async with asyncio.timeout(message.within):
+                served = await self._service.call(
+                    message.method,
+                    message.path,
+                    message.headers,
+                    message.body,
+                    may_send,
+                )
+        except EngineError as error:
+            job.started = error.ran
+            raise
+        self._desk.finish(message.key, served)
+        job.key = ""
         reply = Served(message.attempt, served.status, served.headers, served.body)
         self._transport.send(sender.instance, reply)
 
     def _stop_job(self, attempt: str) -> None:
         job = self._jobs.get(attempt)
-        if job is not None and job.task is not None:
+        if job is not None and job.task is not None and not job.kept:
             job.task.cancel()
 
     def _fail(
--- /dev/null
+++ b/tests/helpers/bookings.py
@@ -0,0 +1,66 @@
+"""Bookings that tests make in a virtual world."""
+
+import asyncio
+import json
+
+from ebonyglade.once.ticket import read
+from ebonyglade_lab.virtual.world import Outcome, World
+from helpers.worlds import KEY
+
+
+async def ticket(world: World, entry: str = "entry-0", key: str = KEY) -> str:
+    """Return a ticket for the bookings route."""
+    call = world.service_call(key, "POST", "/tickets/bookings", b"")
+    outcome = await world.call(entry, call)
+    assert outcome.status == 201
+    return json.loads(outcome.body)["ticket"]
+
+
+async def book(
+    world: World, entry: str, body: bytes, held: str = "", key: str = KEY
+) -> Outcome:
+    """Send a booking, under a ticket if there is one."""
+    return await world.call(
+        entry, world.service_call(key, "POST", "/bookings", body, held)
+    )
+
+
+def owner(world: World, held: str) -> str:
+    """Return the agent that issued a ticket."""
+    return read(held).agent
+
+
+def executions(world: World, body: bytes) -> int:
+    """Return how often a booking was executed over the fleet."""
+    return sum(service.executions[body] for service in world.services.values())
+
+
+def told(outcome: Outcome) -> tuple[str, str]:
+    """Return a refusal's code and verdict."""
+    return outcome.refusal.code, outcome.refusal.verdict.value
+
+
+async def until(condition) -> None:
+    """Wait on the virtual clock until something holds."""
+    async with asyncio.timeout(60.0):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+class Recorder:
+    """Keeps the frames that instances send, to send copies of them later."""
+
+    def __init__(self, world: World) -> None:
+        self._network = world.network
+        self._send = world.network.send
+        self.frames: list[tuple[str, str, bytes]] = []
+        world.network.send = self._record
+
+    def _record(self, source: str, target: str, frame: bytes) -> None:
+        self.frames.append((source, target, frame))
+        self._send(source, target, frame)
+
+    def again(self, source: str) -> None:
+        """Deliver copies of everything that `source` sent so far."""
+        for frame in [item for item in self.frames if item[0] == source]:
+            self._send(*frame)
--- /dev/null
+++ b/tests/test_once_world.py
@@ -0,0 +1,312 @@
+"""At most one execution, in a world where things fail."""
+
+import asyncio
+
+import pytest
+
+from ebonyglade.once import book as books, grants
+from ebonyglade.once.grants import Use
+from ebonyglade.wire.work import Serve
+from ebonyglade_lab.virtual import endpoints
+from ebonyglade_lab.virtual.loop import run
+from helpers.bookings import Recorder, book, executions, owner, ticket, told, until
+from helpers.worlds import KEY, small_world
+
+BODY = b"room 1, nine o'clock"
+
+
+def in_world(scenario, **options):
+    async def start():
+        world = small_world(**options)
+        await asyncio.sleep(1)
+        return await scenario(world)
+
+    return run(start())
+
+
+def test_repeat_by_another_entry_gets_the_first_answer():
+    async def scenario(world):
+        held = await ticket(world)
+        first = await book(world, "entry-0", BODY, held)
+        again = await book(world, "entry-1", BODY, held)
+        return first, again, executions(world, BODY)
+
+    first, again, count = in_world(scenario)
+    assert (first.status, first.body) == (again.status, again.body) == (201, BODY)
+    assert count == 1
+
+
+def test_repeats_at_once_wait_for_the_first_answer(monkeypatch):
+    monkeypatch.setattr(endpoints, "SERVICE_S", 3.0)
+
+    async def scenario(world):
+        held = await ticket(world)
+        tries = [book(world, f"entry-{n % 2}", BODY, held) for n in range(6)]
+        return await asyncio.gather(*tries), executions(world, BODY)
+
+    outcomes, count = in_world(scenario)
+    assert [item.status for item in outcomes] == [201] * 6
+    assert count == 1
+
+
+def test_restarted_owner_refuses_the_repeat():
+    async def scenario(world):
+        held = await ticket(world)
+        await book(world, "entry-0", BODY, held)
+        world.kill(owner(world, held))
+        world.start(owner(world, held))
+        await asyncio.sleep(1)
+        again = await book(world, "entry-1", BODY, held)
+        return told(again), executions(world, BODY)
+
+    assert in_world(scenario) == (("ticket_lost", "may_have_run"), 1)
+
+
+def test_dead_owner_is_given_up_without_another_execution():
+    async def scenario(world):
+        held = await ticket(world)
+        await book(world, "entry-0", BODY, held)
+        world.kill(owner(world, held))
+        again = await book(world, "entry-1", BODY, held)
+        return told(again), executions(world, BODY)
+
+    assert in_world(scenario) == (("agent_lost", "may_have_run"), 1)
+
+
+def test_differing_lists_lead_to_the_same_owner():
+    async def scenario(world):
+        held = await ticket(world)
+        world.platform.freeze("entry-0")
+        world.platform.remove(f"platform/instances/{owner(world, held)}")
+        await asyncio.sleep(1)
+        outcomes = [await book(world, f"entry-{n}", BODY, held) for n in (1, 0)]
+        return [item.status for item in outcomes], executions(world, BODY)
+
+    assert in_world(scenario) == ([201, 201], 1)
+
+
+def test_partition_in_mid_call_leaves_one_execution(monkeypatch):
+    monkeypatch.setattr(endpoints, "SERVICE_S", 0.5)
+
+    async def scenario(world):
+        held = await ticket(world)
+        first = asyncio.ensure_future(book(world, "entry-0", BODY, held))
+        await until(lambda: executions(world, BODY))
+        world.network.faults.cut.add(frozenset(("entry-0", owner(world, held))))
+        again = await book(world, "entry-1", BODY, held)
+        return told(await first), again.body, executions(world, BODY)
+
+    first, again, count = in_world(scenario)
+    assert first[1] == "may_have_run"
+    assert (again, count) == (BODY, 1)
+
+
+def test_caller_that_hangs_up_finds_its_answer_later(monkeypatch):
+    monkeypatch.setattr(endpoints, "SERVICE_S", 0.5)
+
+    async def scenario(world):
+        held = await ticket(world)
+        first = asyncio.ensure_future(book(world, "entry-0", BODY, held))
+        await until(lambda: executions(world, BODY))
+        for task in list(world.nodes["entry-0"].process._tasks):
+            if "_collect" in str(task.get_coro()):
+                task.cancel()
+        await first
+        again = await book(world, "entry-1", BODY, held)
+        busy = world.nodes[owner(world, held)].core.worker.busy
+        return again.body, executions(world, BODY), busy
+
+    assert in_world(scenario) == (BODY, 1, 0)
+
+
+def test_answer_lost_on_its_way_is_fetched_again(monkeypatch):
+    monkeypatch.setattr(endpoints, "SERVICE_S", 0.5)
+
+    async def scenario(world):
+        held = await ticket(world)
+        first = asyncio.ensure_future(book(world, "entry-0", BODY, held))
+        await until(lambda: executions(world, BODY))
+        cut = frozenset(("entry-0", owner(world, held)))
+        world.network.faults.cut.add(cut)
+        await asyncio.sleep(0.7)
+        world.network.faults.cut.discard(cut)
+        outcome = await first
+        return outcome.body, executions(world, BODY)
+
+    assert in_world(scenario) == (BODY, 1)
+
+
+def lost_in_mid_call(world):
+    for service in world.services.values():
+        service.answer_lost = True
+
+
+def test_lost_outcome_is_never_run_again():
+    async def scenario(world):
+        held = await ticket(world)
+        lost_in_mid_call(world)
+        first = await book(world, "entry-0", BODY, held)
+        again = await book(world, "entry-1", BODY, held)
+        return told(first)[1], told(again), executions(world, BODY)
+
+    expected = ("may_have_run", ("outcome_unknown", "may_have_run"), 1)
+    assert in_world(scenario) == expected
+
+
+def test_endpoint_down_closes_the_ticket_truthfully():
+    async def scenario(world):
+        held = await ticket(world)
+        world.services[owner(world, held)].down = True
+        first = await book(world, "entry-0", BODY, held)
+        world.services[owner(world, held)].down = False
+        again = await book(world, "entry-1", BODY, held)
+        return told(first)[1], told(again), executions(world, BODY)
+
+    assert in_world(scenario) == ("not_run", ("ticket_void", "not_run"), 0)
+
+
+def _pause_after_serve(node):
+    handle = node.context.handlers[Serve]
+
+    def handle_and_pause(sender, message):
+        handle(sender, message)
+        node.process.pause()
+
+    node.context.handlers[Serve] = handle_and_pause
+
+
+async def _paused_before_sending(world):
+    """Pause an agent between its decision and its sending, past the lease."""
+    for name in world.services:
+        _pause_after_serve(world.nodes[name])
+    outcome = await book(world, "entry-0", BODY)
+    for name in world.services:
+        world.wake(name)
+    await asyncio.sleep(5)
+    return told(outcome)[1], executions(world, BODY)
+
+
+def test_paused_agent_does_not_send_what_it_decided_before():
+    assert in_world(_paused_before_sending) == ("may_have_run", 0)
+
+
+def test_without_the_check_a_paused_agent_sends(monkeypatch):
+    call = endpoints.VirtualService.call
+
+    async def unchecked(self, method, path, headers, body, may_send):
+        return await call(self, method, path, headers, body, lambda: True)
+
+    monkeypatch.setattr(endpoints.VirtualService, "call", unchecked)
+    assert in_world(_paused_before_sending) == ("may_have_run", 1)
+
+
+async def _late_copies(world):
+    """Deliver every message of a finished booking once more, pair by pair."""
+    recorder = Recorder(world)
+    outcome = await book(world, "entry-0", BODY)
+    await asyncio.sleep(20)
+    recorder.again("entry-0")
+    await asyncio.sleep(5)
+    return outcome.status, executions(world, BODY)
+
+
+def test_late_copies_of_reserve_and_serve_run_nothing():
+    assert in_world(_late_copies) == (201, 1)
+
+
+def test_without_grants_late_copies_run_again(monkeypatch):
+    def careless(self, attempt, grant, in_force):
+        return Use.START if in_force else Use.TOO_LATE
+
+    monkeypatch.setattr(grants.Grants, "use", careless)
+    assert in_world(_late_copies) == (201, 2)
+
+
+def test_without_incarnations_a_restarted_owner_runs_again(monkeypatch):
+    def careless(self, text, workspace, digest, now):
+        record = self._records.get(text)
+        return books.Ok(None) if record is None else books._standing(record, digest)
+
+    monkeypatch.setattr(books.TicketBook, "look", careless)
+
+    async def scenario(world):
+        held = await ticket(world)
+        await book(world, "entry-0", BODY, held)
+        world.kill(owner(world, held))
+        world.start(owner(world, held))
+        await asyncio.sleep(1)
+        await book(world, "entry-1", BODY, held)
+        return executions(world, BODY)
+
+    assert in_world(scenario) == 2
+
+
+def test_opaque_key_is_refused_with_the_way_to_a_ticket():
+    async def scenario(world):
+        outcome = await book(world, "entry-0", BODY, "my-own-key")
+        return told(outcome), outcome.refusal.message, executions(world, BODY)
+
+    refused, message, count = in_world(scenario)
+    assert refused == ("ticket_required", "not_run")
+    assert "/tickets/" in message
+    assert count == 0
+
+
+def test_ticket_with_another_body_or_workspace_is_refused():
+    async def scenario(world):
+        held = await ticket(world)
+        await book(world, "entry-0", BODY, held)
+        other = await book(world, "entry-1", b"room 2", held)
+        foreign = await book(world, "entry-1", BODY, held, "aula/history")
+        return told(other), told(foreign), executions(world, b"room 2")
+
+    expected = (("key_reused", "not_run"), ("ticket_invalid", "not_run"), 0)
+    assert in_world(scenario) == expected
+
+
+def test_repeat_with_a_withdrawn_key_is_not_told_that_it_did_not_run():
+    async def scenario(world):
+        held = await ticket(world)
+        await book(world, "entry-0", BODY, held)
+        view = world.nodes["entry-0"].core.config.view
+        digest = next(key for key, own in view.keys.items() if own.workspace == KEY)
+        path = "teams/aula/keys/physics"
+        world.platform.publish(path, digest=digest, workspace="physics", withdrawn=True)
+        await asyncio.sleep(1)
+        return told(await book(world, "entry-0", BODY, held))
+
+    assert in_world(scenario) == ("key_withdrawn", "may_have_run")
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lossy_network_and_restarts_execute_a_ticket_once(seed):
+    async def scenario(world):
+        faults = world.network.faults
+        held = [await ticket(world) for _ in range(20)]
+        faults.lose, faults.repeat, faults.late = 0.1, 0.2, 0.2
+
+        async def persist(number):
+            body = b"booking %d" % number
+            for attempt in range(4):
+                entry = f"entry-{(number + attempt) % 2}"
+                outcome = await book(world, entry, body, held[number])
+                if outcome.whole:
+                    break
+            return executions(world, body), outcome
+
+        work = asyncio.gather(*(persist(number) for number in range(20)))
+        await asyncio.sleep(0.02)
+        world.kill("rooms-0")
+        await asyncio.sleep(0.5)
+        world.start("rooms-0")
+        world.pause("rooms-1")
+        await asyncio.sleep(4)
+        world.wake("rooms-1")
+        return await work
+
+    for count, outcome in in_world(scenario, seed=seed):
+        assert count <= 1
+        if outcome.whole:
+            assert count == 1
+        elif outcome.refusal.verdict.value == "not_run":
+            assert count == 0
