--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on the virtual clock, against baselines with the same seeds."""
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -146,12 +146,14 @@
         executions: how often each body was executed.
         down: whether it can't be reached.
         answer_lost: whether it executes and then loses the connection.
+        seconds: how long a call takes.
     """
 
     name: str
     executions: Counter = field(default_factory=Counter)
     down: bool = False
     answer_lost: bool = False
+    seconds: float = SERVICE_S
 
 
 @dataclass(slots=True)
@@ -176,7 +178,7 @@
         if self.state.down:
             raise EngineError("connection refused", ran=False, lost=True)
         self.state.executions[body] += 1
-        await asyncio.sleep(SERVICE_S)
+        await asyncio.sleep(self.state.seconds)
         if self.state.answer_lost:
             raise EngineError("connection lost", ran=True, lost=True)
         await self.process.awake()
--- a/packages/ebonyglade/src/ebonyglade/dispatch/tickets.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/tickets.py
@@ -48,9 +48,16 @@
     reply = await proceed(call)
     if call.ticket is None or call.settled or isinstance(reply, Ok):
         return reply
-    if reply.err_value.verdict is Verdict.NOT_RUN:
-        return Err(reply.err_value.because(verdict=Verdict.MAY_HAVE_RUN))
-    return reply
+    return Err(cautious(reply.err_value, call.idempotency_key))
+
+
+def cautious(refusal: Refusal, idempotency_key: str) -> Refusal:
+    """Return a refusal that claims nothing about earlier tries under a ticket."""
+    if refusal.verdict is not Verdict.NOT_RUN:
+        return refusal
+    if not tickets.looks_like_ticket(idempotency_key):
+        return refusal
+    return refusal.because(verdict=Verdict.MAY_HAVE_RUN)
 
 
 async def require_ticket(call: Call, proceed: Proceed) -> Reply:
--- a/tests/test_once_http.py
+++ b/tests/test_once_http.py
@@ -1,11 +1,13 @@
 """The agent's HTTP client sends each call at most once."""
 
 import asyncio
+import json
 
 import pytest
 
 from ebonyglade.ports import EngineError
 from ebonyglade_agent.engine import HttpService, new_session
+from helpers.fleets import fetch, small_fleet
 
 
 @pytest.fixture
@@ -43,3 +45,27 @@
     assert not seen
     assert not failed.value.ran
     assert not failed.value.lost
+
+
+async def test_ticket_over_http_and_a_repeat_by_another_entry():
+    async with small_fleet(entries=2, service=2) as fleet:
+        first, second = fleet.urls()
+        status, _, body = await fetch(first + "/tickets/bookings")
+        assert status == 201
+        headers = {"Idempotency-Key": json.loads(body)["ticket"]}
+        answers = [
+            await fetch(url + "/bookings", data="room 7", headers=headers)
+            for url in (first, second, first)
+        ]
+        counts = [item.executions["room 7"] for item in fleet.bookings.values()]
+    assert [answer[0] for answer in answers] == [201] * 3
+    assert len({answer[2] for answer in answers}) == 1
+    assert sum(counts) == 1
+
+
+async def test_repeat_refused_at_the_door_claims_nothing_about_the_first():
+    headers = {"Idempotency-Key": "egt1.a.b", "X-Long": "x" * 20_000}
+    async with small_fleet() as fleet:
+        url = fleet.urls()[0] + "/bookings"
+        status, received, _ = await fetch(url, data="x", headers=headers)
+    assert (status, received["X-Ebonyglade-Verdict"]) == (431, "may_have_run")
--- a/tests/test_once_world.py
+++ b/tests/test_once_world.py
@@ -24,6 +24,11 @@
     return run(start())
 
 
+def slow(world, seconds):
+    for service in world.services.values():
+        service.seconds = seconds
+
+
 def test_repeat_by_another_entry_gets_the_first_answer():
     async def scenario(world):
         held = await ticket(world)
@@ -36,10 +41,9 @@
     assert count == 1
 
 
-def test_repeats_at_once_wait_for_the_first_answer(monkeypatch):
-    monkeypatch.setattr(endpoints, "SERVICE_S", 3.0)
-
+def test_repeats_at_once_wait_for_the_first_answer():
     async def scenario(world):
+        slow(world, 3.0)
         held = await ticket(world)
         tries = [book(world, f"entry-{n % 2}", BODY, held) for n in range(6)]
         return await asyncio.gather(*tries), executions(world, BODY)
@@ -85,10 +89,9 @@
     assert in_world(scenario) == ([201, 201], 1)
 
 
-def test_partition_in_mid_call_leaves_one_execution(monkeypatch):
-    monkeypatch.setattr(endpoints, "SERVICE_S", 0.5)
-
+def test_partition_in_mid_call_leaves_one_execution():
     async def scenario(world):
+        slow(world, 0.5)
         held = await ticket(world)
         first = asyncio.ensure_future(book(world, "entry-0", BODY, held))
         await until(lambda: executions(world, BODY))
@@ -101,10 +104,9 @@
     assert (again, count) == (BODY, 1)
 
 
-def test_caller_that_hangs_up_finds_its_answer_later(monkeypatch):
-    monkeypatch.setattr(endpoints, "SERVICE_S", 0.5)
-
+def test_caller_that_hangs_up_finds_its_answer_later():
     async def scenario(world):
+        slow(world, 0.5)
         held = await ticket(world)
         first = asyncio.ensure_future(book(world, "entry-0", BODY, held))
         await until(lambda: executions(world, BODY))
@@ -119,10 +121,9 @@
     assert in_world(scenario) == (BODY, 1, 0)
 
 
-def test_answer_lost_on_its_way_is_fetched_again(monkeypatch):
-    monkeypatch.setattr(endpoints, "SERVICE_S", 0.5)
-
+def test_answer_lost_on_its_way_is_fetched_again():
     async def scenario(world):
+        slow(world, 0.5)
         held = await ticket(world)
         first = asyncio.ensure_future(book(world, "entry-0", BODY, held))
         await until(lambda: executions(world, BODY))
