--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/once.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/once.py
@@ -247,10 +247,10 @@
     return await Bench(seed, policy).run()
 
 
-_NOTE = f"""Each seed has {ENTRIES} entries, {AGENTS} agents and {BOOKINGS} bookings in
-{SPAN_S:.0f} s; a booking takes {SERVICE_S} s at its endpoint. A caller without an answer
-sends again by a random entry, {TRIES} times at most. {BREAKS} faults fall into that time,
-several at once: agents restarted, agents paused for 4 s, an entry and an agent cut
-off from each other for 3 s, an agent off the list of all entries but one; 1 in 100
-messages is lost, 5 arrive twice and 5 late. `answered`, `not_run` and `may_have_run`
-are what the caller was told last."""
+_NOTE = f"""Each seed has {ENTRIES} entries, {AGENTS} agents and {BOOKINGS} bookings
+in {SPAN_S:.0f} s; a booking takes {SERVICE_S} s at its endpoint. A caller without an
+answer sends again by a random entry, {TRIES} times at most. {BREAKS} faults fall into
+that time, several at once: agents restarted, agents paused for 4 s, an entry and an
+agent cut off from each other for 3 s, an agent off the list of all entries but one; 1
+in 100 messages is lost, 5 arrive twice and 5 late. `answered`, `not_run` and
+`may_have_run` are what the caller was told last."""
