--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/retry/__init__.py
@@ -0,0 +1,1 @@
+"""What becomes of a request whose attempt failed."""
--- a/packages/ebonyglade/src/ebonyglade/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -16,6 +16,14 @@
     RAN = "ran"
 
 
+_ORDER = tuple(Verdict)
+
+
+def worst(first: Verdict, second: Verdict) -> Verdict:
+    """Return what holds of a request after two attempts."""
+    return max(first, second, key=_ORDER.index)
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """A typed failure of one request.
@@ -61,7 +69,8 @@
 
 _MAYBE = Verdict.MAY_HAVE_RUN
 
-# One row for each failure that a caller can meet; docs/refusals.md explains them.
+# One row for each failure that a caller can meet, as in
+# docs/operators/refusals.md.
 REFUSALS: dict[str, Refusal] = dict(
     [
         _row("key_missing", 401, "No key came with the request."),
@@ -81,6 +90,7 @@
         _row("no_endpoint", 503, "No endpoint serves this route now.", 2.0),
         _row("endpoint_down", 503, "The endpoint could not be reached.", 1.0),
         _row("endpoint_failed", 502, "The endpoint failed.", None, _MAYBE),
+        _row("resume_unsupported", 502, "The engine can't go on with an answer."),
         _row(
             "agent_lost", 502, "The endpoint's agent stopped answering.", None, _MAYBE
         ),
