--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -14,10 +14,12 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
 EXPIRE_S = 0.25
+ADMIT_S = 0.05
 FORGET_S = 30.0
 
 
@@ -62,16 +64,19 @@
             service,
             context.transport,
             context.clock,
-            SlotTable(limits.slots, limits.pieces, limits.lease_s),
+            SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
             limits.prefill_slots,
+            context.invariants,
             desk=self.desk,
             grants=Grants(context.new_id),
         )
+        self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
         self.peers.on_revision = self.config.heard_revision
-        context.handle(self.worker.handlers)
-        context.handle(self.desk.handlers)
+        context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
+        context.every(ADMIT_S, self.worker.admit)
+        context.handle(self.desk.handlers)
         context.every(FORGET_S, self.desk.tick)
 
     def drain(self, known: Callable[[], list[str]]) -> None:
--- a/packages/ebonyglade/src/ebonyglade/dispatch/tickets.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/tickets.py
@@ -7,7 +7,6 @@
 from result import Err, Ok
 
 from ebonyglade.calls import Call, Proceed, Reply, WholeAnswer
-from ebonyglade.dispatch.choice import choose
 from ebonyglade.dispatch.exchange import Attempt
 from ebonyglade.dispatch.services import ServiceDispatcher
 from ebonyglade.dispatch.waiting import wait_for
@@ -101,14 +100,7 @@
         services = self.services
         excluded: set[str] = set()
         while call.deadline > services.clock():
-            name = choose(
-                call.view,
-                call.route.route.pool,
-                "service",
-                services.inflight,
-                excluded,
-                services.rng,
-            )
+            name = services.choose(call, excluded)
             if name is None:
                 break
             excluded.add(name)
--- a/packages/ebonyglade/src/ebonyglade/once/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/once/desk.py
@@ -36,16 +36,24 @@
         """Forget tickets that are over."""
         self._book.expire(now)
 
-    def begin(self, sender: Sender, message: Serve) -> bool:
-        """Return whether a request may start; if not, it is answered here."""
+    def answers(self, sender: Sender, message: Serve) -> bool:
+        """Answer a request whose ticket was used before, if it was."""
         if not message.key:
-            return True
+            return False
         digest = request_digest(message.method, message.path, message.body)
-        known = self._book.begin(message.key, message.workspace, digest, self._clock())
+        known = self._book.look(message.key, message.workspace, digest, self._clock())
         if known == Ok(None):
-            return True
+            return False
         self._answer(sender, message.attempt, message.key, known)
-        return False
+        return True
+
+    def claim(self, message: Serve) -> bool:
+        """Claim the one execution of a request's ticket, right before it is sent."""
+        if not message.key:
+            return True
+        digest = request_digest(message.method, message.path, message.body)
+        now = self._clock()
+        return self._book.begin(message.key, message.workspace, digest, now) == Ok(None)
 
     def finish(self, key: str, answer: ServiceReply) -> None:
         """Remember an answer and hand it to the repeats that wait for it."""
--- a/packages/ebonyglade/src/ebonyglade/wire/codec.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/codec.py
@@ -5,12 +5,19 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ebonyglade.wire import control, once, ownership, work
+from ebonyglade.wire import cache, control, once, ownership, work
 from ebonyglade.wire.base import Message
 
 # Each module of messages lists its own; a new module is added here.
-AnyMessage = Union[
-    (*control.MESSAGES, *work.MESSAGES, *once.MESSAGES, *ownership.MESSAGES)
+_MODULES = (
+    control,
+    work,
+    cache,
+    once,
+    ownership,
+)
+AnyMessage = Union[  # noqa: UP007
+    tuple(kind for module in _MODULES for kind in module.MESSAGES)
 ]
 
 WIRE_VERSION = 1
