Retry within a budget and tell the truth over all attempts

Cause: every failure of status 500 or more was retried up to four times, an endpoint that refuses at once drew more requests, and the last attempt's verdict hid that an earlier one may have run. Change: the table of failures decides; retries are a share of requests; failed endpoints are left alone for a while; the worst verdict of all attempts is told; an engine that does not go on where it should is not spliced into an answer.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
@@ -36,7 +36,11 @@
         self.core = AgentCore(
             self.node.context,
             EndpointLimits(
-                section.slots, section.pieces, section.prefill_slots, section.lease_s
+                section.slots,
+                section.pieces,
+                section.prefill_slots,
+                section.lease_s,
+                section.resumes,
             ),
             engine(section.url, self._session) if engine else None,
             service(section.url, self._session) if service else None,
--- a/packages/ebonyglade-agent/src/ebonyglade_agent/settings.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/settings.py
@@ -17,6 +17,7 @@
         pieces: KV pieces that the engine holds.
         prefill_slots: most prefills at once.
         lease_s: seconds for which an entry holds a slot without renewal.
+        resumes: whether the engine goes on from tokens that it is given.
         drain_s: seconds that a stop waits for jobs under way.
         leave_s: seconds that a stop waits for entries to notice.
     """
@@ -27,6 +28,7 @@
     pieces: int = Field(default=400, gt=0)
     prefill_slots: int = Field(default=1, gt=0)
     lease_s: float = Field(default=3.0, gt=0)
+    resumes: bool = True
     drain_s: float = Field(default=120.0, gt=0)
     leave_s: float = Field(default=2.0, ge=0)
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -8,7 +8,7 @@
 import fire
 
 from ebonyglade_lab import demo, deployment, operator, reference
-from ebonyglade_lab.experiments import idle, once
+from ebonyglade_lab.experiments import idle, once, retries
 from ebonyglade_lab.fleet import KEY, FleetSize
 
 
@@ -36,6 +36,19 @@
         if record:
             result.record("at-most-once")
 
+    def retries(self, seeds: int = retries.SEEDS, record: bool = False) -> None:
+        """Measure what entries send while endpoints fail.
+
+        Args:
+            seeds: runs for each policy and fault.
+            record: write docs/measurements/retries.md.
+        """
+        logging.disable(logging.ERROR)
+        result = retries.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("retries")
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/retries.py
@@ -0,0 +1,195 @@
+"""Attempts that entries send while endpoints fail, and what callers get."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from ebonyglade.retry import retries
+from ebonyglade.retry.budget import RetryBudget
+from ebonyglade.wire.work import Reserve
+from ebonyglade_lab.experiments.report import Table
+from ebonyglade_lab.standins.answers import answer_tokens
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.network import open_frame
+from ebonyglade_lab.virtual.world import World
+
+KEY = "aula/physics"
+ENTRIES, PAIRS = 2, 4
+REQUESTS = 1000
+GAP_S = 0.02
+TOKENS = 16
+CRASH_EVERY_S = 1.0
+SEEDS = 5
+
+
+async def _half_down(world: World) -> None:
+    for number in range(PAIRS // 2):
+        world.engines[f"prefill-{number}"].down = True
+        world.engines[f"decode-{number}"].down = True
+
+
+async def _half_silent(world: World) -> None:
+    for number in range(PAIRS // 2):
+        world.kill(f"prefill-{number}")
+        world.kill(f"decode-{number}")
+
+
+async def _all_down(world: World) -> None:
+    for engine in world.engines.values():
+        engine.down = True
+
+
+async def _crashes(world: World) -> None:
+    """Crash one decode engine after the other, each with its streams."""
+    for step in range(int(REQUESTS * GAP_S / CRASH_EVERY_S)):
+        world.engines[f"decode-{step % PAIRS}"].crash("test")
+        await asyncio.sleep(CRASH_EVERY_S)
+
+
+FAULTS = {
+    "half of the endpoints refuse": _half_down,
+    "half of the agents are silent": _half_silent,
+    "all endpoints refuse": _all_down,
+    "a decode engine crashes every second": _crashes,
+}
+
+
+@contextmanager
+def _always(ejects: bool = False, resumes: bool = True) -> Iterator[None]:
+    """Retry up to four times without a budget, as the first version did."""
+    unchanged = retries.Ejections.failed
+    decide = retries.action_of
+
+    def failed(self: retries.Ejections, name: str, now: float) -> None:
+        if ejects:
+            unchanged(self, name, now)
+
+    def action(*args: object) -> retries.Action:
+        found = decide(*args)
+        stops = found is retries.Action.RESUME and not resumes
+        return retries.Action.GIVE_UP if stops else found
+
+    with (
+        patch.object(RetryBudget, "spend", lambda self, now: True),
+        patch.object(retries.Ejections, "failed", failed),
+        patch.object(retries, "action_of", action),
+    ):
+        yield
+
+
+@contextmanager
+def _budget_alone() -> Iterator[None]:
+    with patch.object(retries.Ejections, "failed", lambda self, name, now: None):
+        yield
+
+
+@contextmanager
+def _candidate() -> Iterator[None]:
+    yield
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What is changed in the decisions for one row."""
+
+    name: str
+    change: Callable
+
+
+POLICIES = (
+    Policy("budget and ejection", _candidate),
+    Policy("budget alone", _budget_alone),
+    Policy("up to four attempts", _always),
+    Policy("up to four, no resuming", lambda: _always(resumes=False)),
+)
+COLUMNS = (
+    "attempts a request",
+    "whole answers",
+    "refused, not_run",
+    "refused, else",
+    "ended in mid-answer",
+    "wrong answers",
+)
+
+
+def measure(seeds: int = SEEDS) -> Table:
+    """Return a table of attempts and answers by fault and policy."""
+    result = Table(
+        "Retries",
+        f"python -m ebonyglade_lab retries --seeds {seeds}",
+        ["fault", "policy", "requests", *COLUMNS],
+        notes=[_NOTE],
+    )
+    for name, fault in FAULTS.items():
+        for policy in POLICIES:
+            total: Counter[str] = Counter()
+            for seed in range(1, seeds + 1):
+                with policy.change():
+                    total += run(_one(seed, fault))
+            requests = seeds * REQUESTS
+            attempts = f"{total['attempts'] / requests:.3f}"
+            rest = (total[column] for column in COLUMNS[1:])
+            result.add(name, policy.name, requests, attempts, *rest)
+    return result
+
+
+async def _one(seed: int, fault: Callable) -> Counter[str]:
+    world = World(seed)
+    rng = random.Random(seed)
+    world.publish_team("aula", ["physics"], rate=1e6, burst=1e6)
+    for number in range(PAIRS):
+        world.add_engine(f"prefill-{number}", "prefill")
+        world.add_engine(f"decode-{number}", "decode")
+    for number in range(ENTRIES):
+        world.add_entry(f"entry-{number}")
+    await asyncio.sleep(1)
+    counts: Counter[str] = Counter()
+    _count_attempts(world, counts)
+    broken = asyncio.ensure_future(fault(world))
+    await asyncio.gather(*(_ask(world, rng, n, counts) for n in range(REQUESTS)))
+    await broken
+    return counts
+
+
+def _count_attempts(world: World, counts: Counter[str]) -> None:
+    """Count each attempt at its first message, however often that is sent."""
+    send, seen = world.network.send, set()
+
+    def record(source: str, target: str, frame: bytes) -> None:
+        _, message = open_frame(frame)
+        if isinstance(message, Reserve) and message.attempt not in seen:
+            seen.add(message.attempt)
+            counts["attempts"] += 1
+        send(source, target, frame)
+
+    world.network.send = record
+
+
+async def _ask(
+    world: World, rng: random.Random, number: int, counts: Counter[str]
+) -> None:
+    await asyncio.sleep(number * GAP_S)
+    text = f"prompt {number}"
+    call = world.model_call(KEY, text, max_tokens=TOKENS)
+    outcome = await world.call(f"entry-{rng.randrange(ENTRIES)}", call)
+    expected = answer_tokens(text, TOKENS)
+    counts["wrong answers"] += outcome.tokens != expected[: len(outcome.tokens)]
+    if outcome.whole:
+        counts["whole answers"] += outcome.tokens == expected
+        counts["wrong answers"] += outcome.tokens != expected
+    elif outcome.tokens:
+        counts["ended in mid-answer"] += 1
+    elif outcome.refusal.verdict.value == "not_run":
+        counts["refused, not_run"] += 1
+    else:
+        counts["refused, else"] += 1
+
+
+_NOTE = f"""Each seed has {ENTRIES} entries, {PAIRS} prefill and {PAIRS} decode
+endpoints and {REQUESTS} requests, one every {GAP_S} s, of {TOKENS} tokens each. An
+attempt counts once its reservation is sent. The target is 1.1 attempts a request with
+half of the endpoints down."""
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -32,12 +32,14 @@
         pieces: KV pieces that the engine holds.
         prefill_slots: most prefills at once.
         lease_s: seconds for which an entry holds a slot without renewal.
+        resumes: whether the engine goes on from tokens that it is given.
     """
 
     slots: int = 20
     pieces: int = 400
     prefill_slots: int = 1
     lease_s: float = 3.0
+    resumes: bool = True
 
 
 class AgentCore:
@@ -69,6 +71,7 @@
             context.invariants,
             desk=self.desk,
             grants=Grants(context.new_id),
+            resumes=limits.resumes,
         )
         self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
--- a/packages/ebonyglade/src/ebonyglade/dispatch/models.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/models.py
@@ -1,6 +1,5 @@
 """Model requests: attempts at pairs of endpoints until the answer is whole."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -9,10 +8,9 @@
 from ebonyglade.calls import Call, Reply, StreamFailed, TokenStream
 from ebonyglade.dispatch.attempts import PairAttempts, Progress
 from ebonyglade.ports import Clock
-from ebonyglade.verdict import Refusal, Verdict
-
-MAX_ATTEMPTS = 4
-RETRY_PAUSE_S = 0.02
+from ebonyglade.retry.retries import Retries, Tries
+from ebonyglade.retry.table import Kind, Reached, Sent, Where, failed
+from ebonyglade.verdict import Refusal, Verdict, worst
 
 
 @dataclass(slots=True)
@@ -20,6 +18,7 @@
     """Runs model requests; goes on at another pair after a failure."""
 
     attempts: PairAttempts
+    retries: Retries
     clock: Clock
 
     async def run(self, call: Call) -> Reply:
@@ -36,29 +35,39 @@
 
     async def _stream(self, call: Call, progress: Progress) -> AsyncIterator[list[str]]:
         """Yield the answer, going on at another endpoint after a failure."""
+        tries = self.retries.begin(call.route.route, Kind.MODEL, call.deadline)
+        progress.excluded |= self.retries.ejected()
         while True:
-            progress.attempts += 1
+            if self.clock() >= call.deadline:
+                refusal = failed(Where.DEADLINE, Sent.NOTHING)
+                raise StreamFailed(self._final(tries, refusal, progress))
+            self.retries.attempt(tries)
+            before = set(progress.excluded)
             try:
                 async for tokens in self.attempts.run(call, progress):
                     progress.tokens.extend(tokens)
                     yield tokens
                 return
             except StreamFailed as failure:
-                if not self._may_retry(call, progress, failure.refusal):
-                    raise StreamFailed(_truthful(failure.refusal, progress)) from None
-            await asyncio.sleep(RETRY_PAUSE_S * progress.attempts)
-
-    def _may_retry(self, call: Call, progress: Progress, refusal: Refusal) -> bool:
-        if progress.attempts >= MAX_ATTEMPTS or self.clock() >= call.deadline:
-            return False
-        return refusal.status >= 500
-
-
-def _truthful(refusal: Refusal, progress: Progress) -> Refusal:
-    """Return a refusal that says that tokens were already generated."""
-    if progress.tokens:
-        return refusal.because(verdict=Verdict.RAN)
-    return refusal
+                refusal = failure.refusal
+            names = progress.excluded - before
+            if refusal.code == "no_endpoint" and progress.excluded:
+                # Better an endpoint that failed lately than none.
+                progress.excluded.clear()
+                self.retries.unsent(tries)
+                continue
+            reached = Reached.PART if progress.tokens else Reached.NOTHING
+            if not await self.retries.again(tries, refusal, names, reached):
+                raise StreamFailed(self._final(tries, refusal, progress))
+
+    def _final(self, tries: Tries, refusal: Refusal, progress: Progress) -> Refusal:
+        """Return a refusal that is true over all attempts."""
+        if progress.tokens:
+            return refusal.because(verdict=Verdict.RAN)
+        if progress.prompt_tokens:
+            # A prefill ended, whatever became of the answer.
+            tries.verdict = worst(tries.verdict, Verdict.MAY_HAVE_RUN)
+        return self.retries.final(tries, refusal)
 
 
 async def _rejoin(
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -9,13 +9,14 @@
 
 from ebonyglade.calls import Call, Reply, WholeAnswer
 from ebonyglade.dispatch.exchange import Attempt, Exchange
-from ebonyglade.dispatch.models import MAX_ATTEMPTS
 from ebonyglade.dispatch.reservation import reserve
 from ebonyglade.dispatch.waiting import wait_for
 from ebonyglade.placement.choice import choose_endpoint
 from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Clock
-from ebonyglade.verdict import Refusal, Verdict, refuse
+from ebonyglade.retry.retries import Retries
+from ebonyglade.retry.table import Kind, Sent, Where, failed
+from ebonyglade.verdict import Refusal, refuse
 from ebonyglade.wire.work import Reserve, Reserved, Serve, Served
 
 
@@ -28,19 +29,32 @@
     clock: Clock
     rng: random.Random
     new_id: Callable[[], str]
+    retries: Retries
 
     async def run(self, call: Call) -> Reply:
         """Return the endpoint's answer or a truthful refusal."""
-        excluded: set[str] = set()
-        for _ in range(MAX_ATTEMPTS):
+        retries = self.retries
+        tries = retries.begin(call.route.route, _kind(call), call.deadline)
+        excluded = retries.ejected()
+        while self.clock() < call.deadline:
             name = self.choose(call, excluded)
+            if name is None and excluded:
+                # Better an endpoint that failed lately than none.
+                excluded.clear()
+                name = self.choose(call, excluded)
             if name is None:
-                return Err(refuse("no_endpoint"))
-            reply = await self.attempt(call, name)
-            if isinstance(reply, Ok) or not self._may_retry(call, reply.err_value):
+                reply = Err(failed(Where.CHOICE, Sent.NOTHING))
+            else:
+                retries.attempt(tries)
+                reply = await self.attempt(call, name)
+                excluded.add(name)
+            if isinstance(reply, Ok):
                 return reply
-            excluded.add(name)
-        return reply
+            names = [name] if name else []
+            if not await retries.again(tries, reply.err_value, names):
+                return Err(retries.final(tries, reply.err_value))
+        refusal = failed(Where.DEADLINE, Sent.NOTHING)
+        return Err(retries.final(tries, refusal))
 
     def choose(self, call: Call, excluded: set[str]) -> str | None:
         """Return the agent to try next; None if there is none."""
@@ -53,13 +67,6 @@
             self.clock(),
         )
 
-    def _may_retry(self, call: Call, refusal: Refusal) -> bool:
-        if self.clock() >= call.deadline:
-            return False
-        if refusal.verdict is Verdict.NOT_RUN:
-            return True
-        return call.method in call.route.route.repeatable
-
     async def attempt(self, call: Call, name: str, patience: float = math.inf) -> Reply:
         """Make one attempt at one agent; Err tells whether it may have run.
 
@@ -100,7 +107,7 @@
         within = call.deadline - self.clock()
         silent = refuse("deadline_exceeded" if within < patience else "in_progress")
         if within <= 0:
-            return Err(refuse("deadline_exceeded", verdict=Verdict.NOT_RUN))
+            return Err(failed(Where.DEADLINE, Sent.RESERVATION))
         request = Serve(
             attempt.id,
             call.workspace,
@@ -113,7 +120,7 @@
             grant=grant,
         )
         if not self.exchange.send(attempt, request):
-            return Err(refuse("endpoint_down"))
+            return Err(failed(Where.HAND_OVER, Sent.NOTHING))
         until = self.clock() + min(within, patience)
         answer = await wait_for(attempt, until - self.clock(), silent)
         while isinstance(answer, Ok) and isinstance(answer.ok_value, Reserved):
@@ -126,3 +133,8 @@
             return Err(refuse("internal", message="Unexpected answer."))
         attempt.ended = True
         return Ok(WholeAnswer(served.status, served.headers, served.body))
+
+
+def _kind(call: Call) -> Kind:
+    repeatable = call.method in call.route.route.repeatable
+    return Kind.REPEATABLE if repeatable else Kind.ONCE
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -20,6 +20,7 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Sender
+from ebonyglade.retry.retries import Retries
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
 from ebonyglade.wire.once import Recalled, TicketGiven
@@ -51,8 +52,9 @@
         self.placer = Placer(context)
         parts = (self.exchange, self.placer, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
-        self.models = ModelDispatcher(pairs, context.clock)
-        self.services = ServiceDispatcher(*parts, context.new_id)
+        self.retries = Retries(context.clock, context.rng, context.count)
+        self.models = ModelDispatcher(pairs, self.retries, context.clock)
+        self.services = ServiceDispatcher(*parts, context.new_id, self.retries)
         self.tickets = TicketDispatcher(self.services)
         filters = [read_ticket, identify, find_route, check_size, require_ticket]
         self.run = Chain(filters).around(self._dispatch)
--- a/packages/ebonyglade/src/ebonyglade/retry/retries.py
+++ b/packages/ebonyglade/src/ebonyglade/retry/retries.py
@@ -1,10 +1,12 @@
 """Decides after each failed attempt of an entry: again, elsewhere, or not."""
 
+import asyncio
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from ebonyglade.config.published import Route
 from ebonyglade.ports import Clock
 from ebonyglade.retry.budget import RetryBudget
 from ebonyglade.retry.ejection import Ejections
@@ -30,6 +32,7 @@
         pool: pool of endpoints that serves it.
         kind: whether it may be repeated.
         deadline: monotonic seconds by which it must be answered.
+        patient: whether its caller waits rather than be refused.
         attempts: attempts so far.
         verdict: the worst of all attempts.
     """
@@ -37,6 +40,7 @@
     pool: str
     kind: Kind
     deadline: float
+    patient: bool = False
     attempts: int = 0
     verdict: Verdict = Verdict.NOT_RUN
 
@@ -53,54 +57,63 @@
     totals: Counter[str] = field(default_factory=Counter)
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
-    def begin(self, pool: str, kind: Kind, deadline: float) -> Tries:
+    def begin(self, route: Route, kind: Kind, deadline: float) -> Tries:
         """Note a request and return its tries."""
-        self._budget(pool).earn()
+        self._budget(route.pool).earn(self.clock())
         self._note("requests")
-        return Tries(pool, kind, deadline)
+        return Tries(route.pool, kind, deadline, route.patient)
 
     def attempt(self, tries: Tries) -> None:
         """Note an attempt."""
         tries.attempts += 1
         self._note("attempts")
 
-    def after(
+    def unsent(self, tries: Tries) -> None:
+        """Take back an attempt that found no endpoint to send to."""
+        tries.attempts -= 1
+        self.totals["attempts"] -= 1
+
+    def ejected(self) -> set[str]:
+        """Return the agents that get no first choice now."""
+        return self.ejections.active(self.clock())
+
+    async def again(
         self,
         tries: Tries,
         refusal: Refusal,
         names: Iterable[str] = (),
         reached: Reached = Reached.NOTHING,
-    ) -> Action:
-        """Return what to do after a failed attempt.
+    ) -> bool:
+        """Wait for the next attempt; False at once if there is none.
 
         Args:
             tries: the attempts of the request; its verdict is brought up to date.
-            refusal: how the attempt failed.
+            refusal: how the last attempt failed.
             names: agents that failed it.
             reached: what the caller has of the answer.
         """
         tries.verdict = worst(tries.verdict, refusal.verdict)
-        now = self.clock()
         if refusal.code in _EJECTING:
             for name in names:
-                self.ejections.failed(name, now)
-        action = action_of(refusal, tries.kind, reached)
-        if action is Action.GIVE_UP or tries.attempts >= MAX_ATTEMPTS:
-            return Action.GIVE_UP
-        if tries.deadline - now < MIN_LEFT_S:
-            return Action.GIVE_UP
-        # A stream under way was paid for by its request and is not given up
-        # because others need retries; only attempts at a first token are.
-        if action is Action.RETRY and not self._budget(tries.pool).spend():
-            self._note("retries_over_budget")
-            return Action.GIVE_UP
-        return action
-
-    def pause(self, tries: Tries) -> float:
-        """Return the seconds to wait before the next attempt."""
-        longest = min(MAX_PAUSE_S, BASE_PAUSE_S * 2 ** (tries.attempts - 1))
-        left = tries.deadline - self.clock() - MIN_LEFT_S
-        return max(0.0, min(longest * self.rng.uniform(0.5, 1.0), left))
+                self.ejections.failed(name, self.clock())
+        action = action_of(refusal, tries.kind, reached, tries.patient)
+        if action is Action.GIVE_UP:
+            return False
+        if tries.attempts >= MAX_ATTEMPTS and not tries.patient:
+            return False
+        pause = min(MAX_PAUSE_S, BASE_PAUSE_S * 2 ** min(tries.attempts, 10))
+        while tries.deadline - self.clock() > pause + MIN_LEFT_S:
+            # A stream under way was paid for by its request and is not given up
+            # because others need retries; only attempts at a first token are.
+            if action is Action.RESUME or self._budget(tries.pool).spend(self.clock()):
+                await asyncio.sleep(pause * self.rng.uniform(0.5, 1.0))
+                return True
+            self._note("over_budget")
+            if not tries.patient:
+                return False
+            pause = MAX_PAUSE_S
+            await asyncio.sleep(pause * self.rng.uniform(0.5, 1.0))
+        return False
 
     def final(self, tries: Tries, refusal: Refusal) -> Refusal:
         """Return the refusal that the caller gets, true over all attempts."""
--- a/packages/ebonyglade/src/ebonyglade/retry/table.py
+++ b/packages/ebonyglade/src/ebonyglade/retry/table.py
@@ -92,19 +92,22 @@
     (Verdict.RAN, Kind.MODEL, Reached.PART): Action.RESUME,
 }
 
-# Failures that another endpoint can mend; all others are final.
+# Failures that another endpoint can mend; all others but the next are final.
 MENDABLE = frozenset(
     {
-        "no_endpoint",
         "endpoint_down",
         "endpoint_failed",
         "agent_lost",
         "overloaded",
+        "deadline_infeasible",
         "stopping",
         "resume_unsupported",
     }
 )
 
+# Failures that only waiting can mend, for those who wait.
+PASSING = frozenset({"no_endpoint"})
+
 
 def failed(where: Where, sent: Sent) -> Refusal:
     """Return the refusal of a failure."""
@@ -112,9 +115,12 @@
     return refuse(failure.code, verdict=failure.verdict)
 
 
-def action_of(refusal: Refusal, kind: Kind, reached: Reached) -> Action:
+def action_of(
+    refusal: Refusal, kind: Kind, reached: Reached, patient: bool = False
+) -> Action:
     """Return what to do after a failure, budgets and deadline aside."""
-    if refusal.code not in MENDABLE:
+    waits = patient or reached is Reached.PART
+    if refusal.code not in MENDABLE and not (waits and refusal.code in PASSING):
         return Action.GIVE_UP
     return ACTIONS.get((refusal.verdict, kind, reached), Action.GIVE_UP)
 
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -41,6 +41,7 @@
 from ebonyglade.worker.fair import FairQueue, Waiting
 from ebonyglade.worker.predict import Predictor
 from ebonyglade.worker.prefills import PrefillLine, TurnRefused
+from ebonyglade.worker.serving import Serving
 from ebonyglade.worker.slots import SlotTable
 
 FIRST_CREDIT_TOKENS = 256
@@ -93,14 +94,15 @@
         *,
         desk: TicketDesk,
         grants: Grants,
+        resumes: bool = True,
     ) -> None:
         self._engine = engine
-        self._service = service
         self._transport = transport
         self._clock = clock
         self._slots = slots
         self._desk = desk
         self._grants = grants
+        self._serving = Serving(service, slots, desk, grants, clock)
         self._jobs: dict[str, _Job] = {}
         invariants = invariants or Invariants()
         self._admission = Admission(
@@ -114,6 +116,7 @@
             prefill_slots, FairQueue(MAX_WAITING, invariants), clock
         )
         self._draining = False
+        self._resumes = resumes
         self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
             Reserve: self._on_reserve,
             Prefill: self._on_prefill,
@@ -182,11 +185,13 @@
         self._start(sender, message.attempt, self._prefill(sender, message))
 
     def _on_decode(self, sender: Sender, message: Decode) -> None:
+        if message.resume and not self._resumes:
+            self._fail(sender, message.attempt, "resume_unsupported")
+            return
         self._claim(sender, message.attempt, self._decode, message)
 
     def _on_serve(self, sender: Sender, message: Serve) -> None:
-        in_force = self._slots.holds(message.attempt, sender.instance, self._clock())
-        use = self._grants.use(message.attempt, message.grant, in_force)
+        use = self._serving.use(sender, message)
         if use is Use.REPEATED:
             return
         if use is not Use.START:
@@ -318,6 +323,9 @@
         """Pass tokens on as they come and return their number."""
         total = len(work.resume)
         async for token in self._engine.decode(work):
+            if token.index != total:
+                # What follows would not fit what the caller has.
+                raise EngineError("The engine did not go on where it should.")
             chunk = Chunk(work.job, token.index, [token.text])
             self._transport.send(sender.instance, chunk)
             total = token.index + 1
@@ -329,29 +337,8 @@
 
     async def _serve(self, sender: Sender, message: Serve) -> None:
         job = self._jobs[message.attempt]
-
-        def may_send() -> bool:
-            """Check that what was decided still stands, as after a pause."""
-            job.started = self._slots.holds(
-                message.attempt, sender.instance, self._clock()
-            ) and self._desk.claim(message)
-            job.key = message.key if job.started else ""
-            return job.started
-
-        try:
-            async with asyncio.timeout(message.within):
-                served = await self._service.call(
-                    message.method,
-                    message.path,
-                    message.headers,
-                    message.body,
-                    may_send,
-                )
-        except EngineError as error:
-            job.started = error.ran
-            raise
-        self._desk.finish(message.key, served)
-        job.key = ""
+        async with asyncio.timeout(message.within):
+            served = await self._serving.call(sender, message, job)
         reply = Served(message.attempt, served.status, served.headers, served.body)
         self._transport.send(sender.instance, reply)
 
--- /dev/null
+++ b/tests/test_retry_world.py
@@ -0,0 +1,212 @@
+"""Retries and verdicts, in a world where endpoints fail."""
+
+import asyncio
+
+import pytest
+
+from ebonyglade.dispatch import models
+from ebonyglade.ports import Token
+from ebonyglade.retry import retries
+from ebonyglade.retry.budget import RetryBudget
+from ebonyglade.verdict import Verdict
+from ebonyglade_lab.standins.answers import answer_tokens
+from ebonyglade_lab.virtual import endpoints
+from ebonyglade_lab.virtual.loop import run
+from helpers.bookings import book, executions, told
+from helpers.failing import Sendings, down, prompt, steady
+from helpers.worlds import KEY, small_world
+
+MOST_ATTEMPTS = 1.1  # for each request, with half of the endpoints down
+REQUESTS = 600
+
+
+def in_world(scenario, **options):
+    async def start():
+        world = small_world(**options)
+        await asyncio.sleep(1)
+        return await scenario(world)
+
+    return run(start())
+
+
+async def _half_down(world):
+    down(world, ["prefill-0", "prefill-1", "decode-0", "decode-1"])
+    sendings = Sendings(world)
+    outcomes = await steady(world, REQUESTS, 0.02, lambda n: prompt(world, n))
+    return sendings.total / REQUESTS, outcomes
+
+
+def test_half_of_the_endpoints_down_cause_no_retry_storm():
+    attempts, outcomes = in_world(_half_down, pairs=4)
+    assert attempts <= MOST_ATTEMPTS
+    for number, outcome in enumerate(outcomes):
+        if outcome.refusal is None:
+            assert outcome.tokens == answer_tokens(f"prompt {number}", 8)
+
+
+def test_without_ejection_and_budget_there_is_a_retry_storm(monkeypatch):
+    monkeypatch.setattr(retries.Ejections, "failed", lambda self, name, now: None)
+    monkeypatch.setattr(RetryBudget, "spend", lambda self, now: True)
+    attempts, _ = in_world(_half_down, pairs=4)
+    assert attempts > MOST_ATTEMPTS
+
+
+async def _ran_then_nowhere(world):
+    """Let one decode engine die in the first token, and the other be down."""
+    down(world, ["decode-0"])
+    engine = world.engines["decode-1"]
+
+    def die(job, text):
+        engine.down = True
+        raise endpoints.EngineError("connection lost", ran=True, lost=True)
+
+    engine.start = die
+    return await world.call("entry-0", prompt(world, 1))
+
+
+@pytest.fixture
+def soft_engines(monkeypatch):
+    """Let tests replace an engine's methods."""
+    monkeypatch.setattr(
+        endpoints, "EngineState", type("Soft", (endpoints.EngineState,), {})
+    )
+    monkeypatch.setattr(
+        "ebonyglade_lab.virtual.world.EngineState", endpoints.EngineState
+    )
+
+
+def test_last_refusal_remembers_that_an_earlier_attempt_may_have_run(soft_engines):
+    outcome = in_world(_ran_then_nowhere)
+    assert outcome.refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_refusal_by_the_last_attempt_alone_would_be_untrue(soft_engines, monkeypatch):
+    monkeypatch.setattr(
+        models.ModelDispatcher, "_final", lambda self, tries, refusal, seen: refusal
+    )
+    outcome = in_world(_ran_then_nowhere)
+    assert outcome.refusal.verdict is Verdict.NOT_RUN
+
+
+def test_deadline_that_passed_before_sending_is_not_run():
+    async def scenario(world):
+        late = prompt(world, 1)
+        late.arrived = world.now() - 60.0
+        model = await world.call("entry-0", late)
+        call = world.service_call(KEY, "POST", "/bookings", b"room")
+        call.arrived = world.now() - 60.0
+        booking = await world.call("entry-0", call)
+        return told(model), told(booking), executions(world, b"room")
+
+    late = ("deadline_exceeded", "not_run")
+    assert in_world(scenario) == (late, late, 0)
+
+
+def test_refusal_without_any_endpoint_is_immediate():
+    async def scenario(world):
+        for name in [*world.engines]:
+            world.platform.remove(f"platform/instances/{name}")
+        await asyncio.sleep(1)
+        return await world.call("entry-0", prompt(world, 1))
+
+    outcome = in_world(scenario)
+    assert told(outcome) == ("no_endpoint", "not_run")
+    assert outcome.ended == outcome.started
+
+
+def test_lost_booking_without_a_ticket_is_sent_once_and_a_listing_again():
+    async def scenario(world):
+        world.services["rooms-0"].answer_lost = True
+        world.services["rooms-1"].answer_lost = True
+        booking = await book(world, "entry-0", b"room")
+        call = world.service_call(KEY, "GET", "/bookings", b"list")
+        listing = await world.call("entry-0", call)
+        return (
+            told(booking),
+            executions(world, b"room"),
+            told(listing)[1],
+            executions(world, b"list"),
+        )
+
+    booking, booked, listing, listed = in_world(scenario)
+    assert booking == ("endpoint_failed", "may_have_run")
+    assert (booked, listing) == (1, "may_have_run")
+    assert listed > 1
+
+
+def test_booking_goes_to_another_endpoint_if_the_first_is_down():
+    async def scenario(world):
+        down(world, ["rooms-0"])
+        bodies = [b"room %d" % number for number in range(10)]
+        outcomes = [await book(world, "entry-0", body) for body in bodies]
+        counts = [executions(world, body) for body in bodies]
+        return [item.status for item in outcomes], counts
+
+    assert in_world(scenario) == ([201] * 10, [1] * 10)
+
+
+async def _decode_engine_dies(world):
+    """Crash the engine that decodes, once the caller has a part of the answer."""
+    call = world.model_call(KEY, "a longer prompt", max_tokens=64)
+    task = asyncio.ensure_future(world.call("entry-0", call))
+    await asyncio.sleep(0.25)
+    for name, engine in world.engines.items():
+        if engine.jobs and name.startswith("decode"):
+            engine.crash("test")
+    return await task
+
+
+def test_stream_goes_on_at_another_engine_without_a_gap():
+    outcome = in_world(_decode_engine_dies)
+    assert outcome.whole
+    assert outcome.tokens == answer_tokens("a longer prompt", 64)
+
+
+def test_stream_that_no_engine_can_resume_fails_marked():
+    async def scenario(world):
+        for name in world.engines:
+            world.nodes[name].core.worker._resumes = False
+        return await _decode_engine_dies(world)
+
+    outcome = in_world(scenario)
+    assert not outcome.whole
+    assert outcome.refusal.verdict is Verdict.RAN
+    part = answer_tokens("a longer prompt", 64)[: len(outcome.tokens)]
+    assert outcome.tokens == part
+
+
+def test_engine_that_starts_anew_is_not_spliced_into_an_answer(monkeypatch):
+    async def forgetful(self, job):
+        self.state.start(job.job, job.prompt)
+        for index in range(job.max_tokens):
+            await asyncio.sleep(endpoints.TOKEN_S)
+            self.state.check(job.job)
+            yield Token(index, f"{self.state.name}:{index} ")
+
+    monkeypatch.setattr(endpoints.VirtualEngine, "decode", forgetful)
+    outcome = in_world(_decode_engine_dies)
+    sources = {token.partition(":")[0] for token in outcome.tokens}
+    assert len(sources) == 1
+    assert not outcome.whole
+    assert outcome.refusal.verdict is Verdict.RAN
+
+
+def test_patient_work_outlasts_a_failure_of_all_endpoints():
+    async def scenario(world):
+        world.platform.publish(
+            "teams/aula/routes/abstracts",
+            kind="model",
+            model="abstracts",
+            pool="abstracts",
+            deadline_s=20.0,
+            patient=True,
+        )
+        await asyncio.sleep(1)
+        down(world, world.engines)
+        task = asyncio.ensure_future(world.call("entry-0", prompt(world, 1)))
+        await asyncio.sleep(6)
+        for engine in world.engines.values():
+            engine.restart()
+        return await task
+
+    assert in_world(scenario).whole
