--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of state, messages, processor time and memory, and what they mean."""
