Share by workspace at the agents, with patient work behind its own reads

Cause: tags were given when work was queued, so patient work kept a stale place and one predicted slot was promised to many; a burst within a workspace's share waited for a flood, and patient work waited for the flood's reads.

Change: the order is worked out from one account for each workspace; what a workspace left of its share in the last seconds may be used later, and patient work earns no such credit.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -8,7 +8,7 @@
 import fire
 
 from ebonyglade_lab import demo, deployment, operator, reference
-from ebonyglade_lab.experiments import choosing, idle, placement
+from ebonyglade_lab.experiments import choosing, fairness, idle, placement
 from ebonyglade_lab.fleet import KEY, FleetSize
 
 
@@ -96,6 +96,16 @@
         table.record("placement")
         print(table.markdown())
 
+    def fairness(self, jobs: int = 3) -> None:
+        """Compare fair queues with FIFO while one workspace floods.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = fairness.table(fairness.measure_all(jobs))
+        table.record("fairness")
+        print(table.markdown())
+
     def choosing(self) -> None:
         """Measure herding under lagging reports and what a choice costs."""
         for name, table in (
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -6,11 +6,13 @@
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.context import Context
 from ebonyglade.events import Event
+from ebonyglade.invariants import Invariants
 from ebonyglade.members.peers import Peers
 from ebonyglade.ownership.ownership import Ownership
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
@@ -46,6 +48,7 @@
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
         terms: Terms | None = None,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
@@ -61,6 +64,7 @@
             SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
             limits.prefill_slots,
             context.invariants,
+            new_queue,
         )
         self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
--- a/packages/ebonyglade/src/ebonyglade/worker/admission.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/admission.py
@@ -231,11 +231,12 @@
         places = self._places(now, certain=False)
         return next((ready for other, ready in places if other.id == item.id), 0.0)
 
-    def _promised_before(self, item: Waiting) -> int:
+    def _promised_before(self, item: Waiting, key: tuple[float, int]) -> int:
+        """Return how many promises come before work at a place in the order."""
         return sum(
             1
             for promise in self._promised.values()
-            if promise.at <= item.arrived or promise.item.key < item.key
+            if promise.at <= item.arrived or promise.item.key < key
         )
 
     def _forecast(self, now: float) -> "Forecast":
@@ -276,10 +277,11 @@
         """
         forecast = self._forecast(now)
         ahead, pieces = 0.0, 0.0
-        for item in self.queue.waiting(now):
-            message = self._asked[item.id].message
+        for key, item_id in self.queue.order(now):
+            item = self.queue.item(item_id)
+            message = self._asked[item_id].message
             part = 1.0 if certain else 1.0 / max(1, message.places)
-            before = int(ahead) + self._promised_before(item)
+            before = int(ahead) + self._promised_before(item, key)
             yield item, forecast.ready(before, pieces + message.pieces)
             ahead += part
             pieces += part * message.pieces
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -65,6 +65,7 @@
         slots: SlotTable,
         prefill_slots: int = 1,
         invariants: Invariants | None = None,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self._engine = engine
         self._service = service
@@ -75,13 +76,13 @@
         invariants = invariants or Invariants()
         self._admission = Admission(
             slots,
-            FairQueue(MAX_WAITING, invariants),
+            new_queue(MAX_WAITING, invariants),
             Predictor(),
             Outlets(self._send, self._refuse),
             clock,
         )
         self._prefills = PrefillLine(
-            prefill_slots, FairQueue(MAX_WAITING, invariants), clock
+            prefill_slots, new_queue(MAX_WAITING, invariants), clock
         )
         self._draining = False
         self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -175,3 +175,20 @@
     desk.told.clear()
     desk.admission.renewed(ENTRY, ["a"])
     assert not desk.told
+
+
+def test_work_that_waited_long_is_not_promised_one_slot_many_times(busy):
+    for number in range(6):
+        busy.reserve(f"note-{number}", lead=0.3, within=60.0, patient=True)
+    began = busy.now
+    for _ in range(16):
+        busy.now += 0.05
+        tokens = 1 + round((busy.now - began) * 100)
+        for name in ("a", "b"):
+            busy.admission.progressed(name, tokens, busy.now)
+            busy.table.renew(name, "entry", busy.now)
+        for number in range(6):
+            busy.table.renew(f"note-{number}", "entry", busy.now)
+        busy.admission.tick(busy.now)
+    promised = [number for number in range(6) if busy.promised(f"note-{number}")]
+    assert promised == [0, 1]
