--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -7,9 +7,11 @@
 
 import fire
 
+from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
 from ebonyglade_lab import demo, deployment, operator, reference
 from ebonyglade_lab.experiments import choosing, fairness, idle, placement
 from ebonyglade_lab.fleet import KEY, FleetSize
+from ebonyglade_lab.fuzz import command
 
 
 class Commands:
@@ -23,6 +25,17 @@
         if not report.good:
             sys.exit(1)
 
+    def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
+        """Run the decisions under seeded faults and judge them by an oracle."""
+        logging.basicConfig(level=logging.CRITICAL)
+        try:
+            good = command.fuzz(seeds, steps, jobs)
+        except UserError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_USER_ERROR)
+        if not good:
+            sys.exit(EXIT_FAILURE)
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
