--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -6,6 +6,7 @@
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.context import Context
 from ebonyglade.events import Event
+from ebonyglade.invariants import Invariants
 from ebonyglade.members.peers import Peers
 from ebonyglade.once.book import TicketBook
 from ebonyglade.once.desk import TicketDesk
@@ -14,6 +15,7 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
@@ -52,6 +54,7 @@
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
         terms: Terms | None = None,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
@@ -72,6 +75,7 @@
             desk=self.desk,
             grants=Grants(context.new_id),
             resumes=limits.resumes,
+            new_queue=new_queue,
         )
         self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -95,6 +95,7 @@
         desk: TicketDesk,
         grants: Grants,
         resumes: bool = True,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self._engine = engine
         self._transport = transport
@@ -107,13 +108,13 @@
         invariants = invariants or Invariants()
         self._admission = Admission(
             slots,
-            FairQueue(MAX_WAITING, invariants),
+            new_queue(MAX_WAITING, invariants),
             Predictor(),
             Outlets(self._promise, self._refuse),
             clock,
         )
         self._prefills = PrefillLine(
-            prefill_slots, FairQueue(MAX_WAITING, invariants), clock
+            prefill_slots, new_queue(MAX_WAITING, invariants), clock
         )
         self._draining = False
         self._resumes = resumes
