Hold workspaces to their rate and burst over the whole fleet

Nothing limited a workspace so far. The holder of a group's lease keeps the buckets of its workspaces and lends tokens to entries; the rights that entries hold lapse before the lease does, a new holder starts empty, and level and lent rights together never exceed the burst. Sums that only grow make lost, repeated and late messages harmless. Requests wait for tokens in turn and are refused at once when they can't be served in time.

The deadline test of the refusals sends a first request beforehand, since a fleet that has just started waits for an owner longer than that deadline; what it checks is unchanged.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
@@ -40,6 +40,7 @@
             ),
             engine(section.url, self._session) if engine else None,
             service(section.url, self._session) if service else None,
+            terms=self._settings.ownership.terms(),
         )
         self.node.attach(self.core.peers, self.core.config)
         self.node.metrics.gauge("busy", lambda: self.core.worker.busy)
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
@@ -21,11 +21,12 @@
 
     async def on_start(self) -> None:
         """Start all parts; open the door to callers last."""
-        self.core = EntryCore(self.node.context)
+        self.core = EntryCore(self.node.context, self._settings.ownership.terms())
         self.node.attach(self.core.peers, self.core.config)
         self.http = HttpServer(self._settings.http, self.node, self.core.run)
         metrics = self.node.metrics
         metrics.gauge("open_requests", lambda: self.http.doorkeeper.open_requests)
+        metrics.gauge("groups_held", lambda: self.core.ownership.held)
         metrics.gauge("dropped_answers", lambda: self.core.exchange.dropped)
         await self.add_runtime_dependency(self.node)
         await self.add_runtime_dependency(
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/deployment.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/deployment.py
@@ -12,6 +12,7 @@
 
 from ebonyglade_lab.fleet import (
     MODEL_POOL,
+    QUICK_OWNERSHIP,
     SERVICE_POOL,
     FleetSize,
     new_fleet_key,
@@ -187,6 +188,7 @@
         "instance": {"id": item.name, "address": item.address, "zone": "zone-a"},
         "fleet": {"public_key": public, "secret_key": secret},
         "platform": {"url": plan.platform_url},
+        "ownership": QUICK_OWNERSHIP,
         "status": {"host": LOOPBACK, "port": item.status_port},
         "logs": {"format": "keyvalue", "level": "INFO"},
     }
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fleet.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fleet.py
@@ -21,6 +21,8 @@
 SERVICE_POOL = "rooms"
 KEY = "demo-key-of-the-aula-team"
 WATCH_WAIT_S = 5.0
+# Local fleets start within seconds: they list no instance that has stopped.
+QUICK_OWNERSHIP = {"lease_s": 1.0, "removal_s": 0.0, "seal_s": 1.0}
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +125,7 @@
             "instance": {"id": name, "address": address, "zone": "zone-a"},
             "fleet": {"public_key": self.keys[0], "secret_key": self.keys[1]},
             "platform": {"url": self.platform.url, "wait_s": WATCH_WAIT_S},
+            "ownership": QUICK_OWNERSHIP,
         }
 
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from ebonyglade.errors import UserError
+from ebonyglade.ownership.terms import Terms
 
 Model = TypeVar("Model", bound=BaseModel)
 
@@ -108,6 +109,24 @@
     port: int = Field(default=0, ge=0, le=65535)
 
 
+class OwnershipSection(Section):
+    """Times of exclusive leases; the same on all instances of a fleet.
+
+    Attributes:
+        lease_s: seconds for which a lease is granted without renewal.
+        removal_s: seconds in which an instance removed from the list has stopped.
+        seal_s: seconds in which a new list reaches all that can be reached.
+    """
+
+    lease_s: float = Field(default=Terms().lease_s, gt=0)
+    removal_s: float = Field(default=Terms().removal_s, ge=0)
+    seal_s: float = Field(default=Terms().seal_s, gt=0)
+
+    def terms(self) -> Terms:
+        """Return the times as the library takes them."""
+        return Terms(self.lease_s, self.removal_s, self.seal_s)
+
+
 class NodeSettings(Section):
     """Sections that both daemons have."""
 
@@ -117,6 +136,7 @@
     peers: tuple[PeerSection, ...] = ()
     logs: LogSection = LogSection()
     status: StatusSection = StatusSection()
+    ownership: OwnershipSection = OwnershipSection()
 
 
 def numeric_address(value: str) -> str:
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -9,6 +9,9 @@
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.dispatch.services import ServiceDispatcher
 from ebonyglade.events import Event
+from ebonyglade.limits.admission import Admission
+from ebonyglade.limits.owner import RateOwner
+from ebonyglade.limits.rights import Rights
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
 from ebonyglade.ownership.ownership import Ownership
@@ -47,7 +50,11 @@
         pairs = PairAttempts(*parts, context.new_id)
         self.models = ModelDispatcher(pairs, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id)
-        self.run = Chain([identify, find_route, check_size]).around(self._dispatch)
+        self.rights = Rights(context, self.ownership)
+        self.rate_owner = RateOwner(context, self.ownership)
+        self.admission = Admission(self.rights, context.clock, lambda: self.config.view)
+        filters = [identify, find_route, check_size, self.admission]
+        self.run = Chain(filters).around(self._dispatch)
         self._wire()
 
     async def _dispatch(self, call: Call) -> Reply:
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of workspaces over the whole fleet."""
--- a/packages/ebonyglade/src/ebonyglade/ownership/ownership.py
+++ b/packages/ebonyglade/src/ebonyglade/ownership/ownership.py
@@ -72,6 +72,16 @@
         context.events.listen(Event.DRAINING, self._drain)
         context.every(TICK_S, self.tick)
 
+    @property
+    def me(self) -> str:
+        """Instance id of this process."""
+        return self._context.me.instance
+
+    @property
+    def held(self) -> int:
+        """Number of groups that this process holds."""
+        return sum(votes.held for votes in self._votes.values())
+
     def group_of(self, workspace: str) -> int:
         """Return the group of a workspace or of any other name."""
         return group_of(workspace, self.terms.groups)
--- a/packages/ebonyglade/src/ebonyglade/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -76,6 +76,7 @@
         _row("path_invalid", 400, "The path could mean two things."),
         _row("prompt_too_long", 400, "Prompt and answer exceed the route's limit."),
         _row("rate_exceeded", 429, "The workspace's rate is used up.", 1.0),
+        _row("rate_unknown", 503, "The workspace's rate could not be checked.", 1.0),
         _row("rate_impossible", 400, "The request costs more than the burst."),
         _row("overloaded", 503, "All endpoints are full.", 1.0),
         _row("no_endpoint", 503, "No endpoint serves this route now.", 2.0),
--- a/packages/ebonyglade/src/ebonyglade/wire/codec.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ebonyglade.wire import cache, control, ownership, work
+from ebonyglade.wire import cache, control, limits, ownership, work
 from ebonyglade.wire.base import Message
 
 # Each module of messages lists its own; a new module is added here.
@@ -14,6 +14,7 @@
     work,
     cache,
     ownership,
+    limits,
 )
 AnyMessage = Union[  # noqa: UP007
     tuple(kind for module in _MODULES for kind in module.MESSAGES)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -158,6 +158,9 @@
 
 
 async def test_deadline_that_passes(fleet):
+    # The first request of a fleet waits for an owner of its workspace's rate.
+    first = await fetch(fleet.urls()[0] + "/bookings", data=b"first")
+    assert first[0] == 201
     fleet.bookings["rooms-1"]._seconds = 5.0
     revision = publish(
         fleet.platform,
