--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -14,6 +14,9 @@
     require_ticket,
 )
 from ebonyglade.events import Event
+from ebonyglade.limits.admission import Admission
+from ebonyglade.limits.owner import RateOwner
+from ebonyglade.limits.rights import Rights
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
 from ebonyglade.ownership.ownership import Ownership
@@ -56,7 +59,17 @@
         self.models = ModelDispatcher(pairs, self.retries, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id, self.retries)
         self.tickets = TicketDispatcher(self.services)
-        filters = [read_ticket, identify, find_route, check_size, require_ticket]
+        self.rights = Rights(context, self.ownership)
+        self.rate_owner = RateOwner(context, self.ownership)
+        self.admission = Admission(self.rights, context.clock, lambda: self.config.view)
+        filters = [
+            read_ticket,
+            identify,
+            find_route,
+            check_size,
+            require_ticket,
+            self.admission,
+        ]
         self.run = Chain(filters).around(self._dispatch)
         self._wire()
 
