Relay configuration between instances and confirm it after starts and pauses

Every process watched the platform and read the whole tree at each change, which neither the platform's rate nor a node's budget allows at the planned size. A few readers in each availability zone now watch a few bytes, one of them reads each change, and neighbours hand it on as deltas. Requests wait for a neighbour's word after a start or a pause; a withdrawn key ends what runs under it; every way into the program checks for a pause first; heartbeats run only between instances that need each other.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
@@ -41,7 +41,7 @@
             engine(section.url, self._session) if engine else None,
             service(section.url, self._session) if service else None,
         )
-        self.node.attach(self.core.peers, self.core.config)
+        self.node.attach(self.core)
         self.node.metrics.gauge("busy", lambda: self.core.worker.busy)
         await self.add_runtime_dependency(self.node)
         await self.add_runtime_dependency(
@@ -57,7 +57,7 @@
         """Announce the stop, refuse new work and finish what is under way."""
         section = self._settings.endpoint
         worker = self.core.worker
-        self.core.drain(self.node.link.known)
+        self.core.drain()
         await asyncio.sleep(section.leave_s)
         try:
             async with asyncio.timeout(section.drain_s):
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
@@ -3,6 +3,7 @@
 from mode import Service
 
 from ebonyglade.entry import EntryCore
+from ebonyglade.events import Event
 from ebonyglade_entry.server import HttpServer
 from ebonyglade_entry.settings import EntrySettings
 from ebonyglade_node.runtime import Node
@@ -22,7 +23,7 @@
     async def on_start(self) -> None:
         """Start all parts; open the door to callers last."""
         self.core = EntryCore(self.node.context)
-        self.node.attach(self.core.peers, self.core.config)
+        self.node.attach(self.core)
         self.http = HttpServer(self._settings.http, self.node, self.core.run)
         metrics = self.node.metrics
         metrics.gauge("open_requests", lambda: self.http.open_requests)
@@ -34,5 +35,6 @@
         await self.add_runtime_dependency(self.http)
 
     async def drain(self) -> None:
-        """Finish what is under way before a stop."""
+        """Announce the stop and finish what is under way."""
+        self.node.context.events.send(Event.DRAINING)
         await self.http.drain()
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
@@ -23,6 +23,7 @@
     Attributes:
         silent: whether it answers nobody.
         calls: answered and waiting calls so far.
+        reads: of these, how many returned all documents.
     """
 
     def __init__(self, port: int = 0, prefix: str = "ebonyglade") -> None:
@@ -34,6 +35,7 @@
         self._frozen: tuple[int, dict[str, _Row]] | None = None
         self.silent = False
         self.calls = 0
+        self.reads = 0
         self.app.router.add_get("/v1/kv/{path:.*}", self._get)
 
     @property
@@ -80,6 +82,10 @@
             int(request.query.get("index", "0")), _seconds(request.query.get("wait"))
         )
         revision, rows = self._copy()
+        if "keys" in request.query:
+            names = sorted({f"{self._prefix}/{path.split('/')[0]}/" for path in rows})
+            return web.json_response(names, headers={"X-Consul-Index": str(revision)})
+        self.reads += 1
         documents = [self._document(path, row) for path, row in sorted(rows.items())]
         return web.json_response(
             documents,
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -97,16 +97,11 @@
         self._process = process
         self._network = network
         self._held: list[tuple[str, Message]] = []
-        self._known: set[str] = set()
-        self.on_connect: Callable[[str], None] = lambda instance: None
 
     def send(self, instance: str, message: Message) -> bool:
         """Send a message, or hold it back while the process stands still."""
         if self._process.dead:
             return False
-        if instance not in self._known:
-            self._known.add(instance)
-            self.on_connect(instance)
         if self._process.paused:
             # What was decided before a pause leaves the process after it.
             self._held.append((instance, message))
@@ -125,6 +120,10 @@
     def learn(self, instance: str, address: str) -> None:
         """Addresses are instance ids here; nothing is to be learned."""
 
+    def forget(self, instance: str) -> None:
+        """Drop the connection to an instance."""
+        self.reconnect(instance)
+
     def reconnect(self, instance: str) -> None:
         """Leave a silent connection behind."""
         self._network.faults.silent.discard((self._process.instance, instance))
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/platform.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/platform.py
@@ -16,7 +16,8 @@
         revision: newest revision.
         silent: readers that get no answer.
         stale: readers that get an older copy.
-        calls: reads so far.
+        calls: reads and watches so far.
+        reads: of these, how many returned all documents.
     """
 
     items: dict[str, ConfigItem] = field(default_factory=dict)
@@ -24,6 +25,7 @@
     silent: set[str] = field(default_factory=set)
     stale: dict[str, tuple[int, dict[str, ConfigItem]]] = field(default_factory=dict)
     calls: int = 0
+    reads: int = 0
 
     def publish(self, path: str, /, **document: object) -> int:
         """Publish a document and return its revision."""
@@ -42,9 +44,16 @@
         """Answer a reader with the present copy from now on."""
         self.stale[reader] = (self.revision, dict(self.items))
 
+    def newest(self, reader: str) -> int | None:
+        """Return the revision that a reader's watch would return, or None."""
+        if reader in self.silent:
+            return None
+        return self.stale[reader][0] if reader in self.stale else self.revision
+
     def read(self, reader: str) -> tuple[int, list[ConfigItem]] | None:
         """Return revision and documents as a reader sees them, or None."""
         self.calls += 1
+        self.reads += 1
         if reader in self.silent:
             return None
         revision, items = self.stale.get(reader, (self.revision, self.items))
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/process.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/process.py
@@ -23,6 +23,7 @@
     instance: str
     incarnation: str
     dead: bool = False
+    _stood_since: float | None = None
     _tasks: set[asyncio.Task] = field(default_factory=set)
     _awake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -34,6 +35,12 @@
         """Whether the process stands still."""
         return not self._awake.is_set()
 
+    def clock(self) -> float:
+        """Return monotonic seconds as the process sees them."""
+        if self._stood_since is not None:
+            return self._stood_since
+        return asyncio.get_running_loop().time()
+
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Run a coroutine, and all tasks that it starts, in this process."""
         context = contextvars.copy_context()
@@ -48,10 +55,12 @@
 
     def pause(self) -> None:
         """Stand still: nothing is sent, taken or started until `wake`."""
+        self._stood_since = self.clock()
         self._awake.clear()
 
     def wake(self) -> None:
         """Go on, with everything decided before still in hand."""
+        self._stood_since = None
         self._awake.set()
 
     async def awake(self) -> None:
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -12,7 +12,6 @@
 from ebonyglade.config.view import digest
 from ebonyglade.context import Context, Identity
 from ebonyglade.entry import EntryCore
-from ebonyglade.events import Event
 from ebonyglade.invariants import Invariants
 from ebonyglade.verdict import Refusal
 from ebonyglade_lab.virtual.endpoints import (
@@ -24,10 +23,9 @@
 from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
 from ebonyglade_lab.virtual.platform import VirtualPlatform
 from ebonyglade_lab.virtual.process import Process, track_tasks
+from ebonyglade_lab.virtual.watcher import VirtualWatcher
 
 TICK_S = 0.05
-READ_S = 0.2
-PAUSE_S = 1.0
 ZONES = ("zone-a", "zone-b", "zone-c")
 MODEL_POOL = "abstracts"
 SERVICE_POOL = "rooms"
@@ -163,13 +161,12 @@
         context = Context(
             me=Identity(name, process.incarnation),
             transport=transport,
-            clock=loop.time,
+            clock=process.clock,
             wall=loop.time,
             rng=random.Random(self.rng.getrandbits(64)),
             invariants=Invariants(strict=self._strict),
         )
         core = self._makers[name](context, process)
-        transport.on_connect = core.peers.watch
         node = Node(process, context, transport, core)
         self.nodes[name] = node
         self.network.attach(name, lambda frame: self._receive(node, frame))
@@ -284,24 +281,15 @@
 
     async def _run(self, node: Node) -> None:
         """Drive a process: timers, pauses and reads of the platform."""
-        last = next_read = self.now()
+        watcher = VirtualWatcher(node.core, self.platform, node.process)
         while True:
             await node.process.awake()
             now = self.now()
-            if now - last > PAUSE_S:
-                node.context.events.send(Event.PAUSED, now - last)
-            last = now
-            if now >= next_read:
-                self._read(node)
-                next_read = now + READ_S
+            node.context.pauses.check()
+            watcher.step(now)
             node.context.timers.fire(now)
             await asyncio.sleep(TICK_S)
 
-    def _read(self, node: Node) -> None:
-        copy = self.platform.read(node.process.instance)
-        if copy is not None:
-            node.core.config.take_snapshot(*copy)
-
     def _receive(self, node: Node, frame: bytes) -> None:
         if node.process.dead:
             return
--- a/packages/ebonyglade-node/src/ebonyglade_node/commands.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/commands.py
@@ -6,7 +6,7 @@
 import sys
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from urllib.parse import quote
 
 import fire
@@ -78,17 +78,32 @@
 
 
 async def serve(service: Service) -> None:
-    """Run a service until a signal, drain it and stop it."""
-    stop = asyncio.Event()
+    """Run a service until a signal, drain it and stop it.
+
+    A second signal ends the drain; answers still under way are cut off then.
+    """
+    signals: asyncio.Queue[None] = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
+        loop.add_signal_handler(name, signals.put_nowait, None)
     await service.start()
-    await stop.wait()
-    await service.drain()
+    await signals.get()
+    await drain_until(service, signals.get())
     await service.stop()
 
 
+async def drain_until(service: Service, enough: Awaitable[None]) -> None:
+    """Drain a service, but no longer than until `enough` is done."""
+    drain = asyncio.ensure_future(service.drain())
+    hurry = asyncio.ensure_future(enough)
+    await asyncio.wait([drain, hurry], return_when=asyncio.FIRST_COMPLETED)
+    for task in (drain, hurry):
+        task.cancel()
+    await asyncio.gather(drain, hurry, return_exceptions=True)
+    if not drain.cancelled():
+        drain.result()
+
+
 def run_program(name: str, commands: type[NodeCommands]) -> None:
     """Run a command line; a user's mistake is one line and exit code 2."""
     try:
--- a/packages/ebonyglade-node/src/ebonyglade_node/link.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/link.py
@@ -28,6 +28,7 @@
 LINGER_MS = 500
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
+IDLE_S = 60.0  # after its last use a connection is closed
 BATCH_FRAMES = 200  # frames handled before other tasks run
 
 Deliver = Callable[[Sender, Message], None]
@@ -39,6 +40,7 @@
 
     address: str
     socket: zmq.Socket
+    used: float = 0.0
 
 
 class Link(Service):
@@ -63,7 +65,6 @@
         self._router: zmq.asyncio.Socket | None = None
         self._auth: AsyncioAuthenticator | None = None
         self.on_message: Deliver = lambda sender, message: None
-        self.on_connect: Callable[[str], None] = lambda instance: None
 
     def learn(self, instance: str, address: str) -> None:
         """Remember where an instance takes messages."""
@@ -71,9 +72,16 @@
             self._addresses[instance] = address
             self.reconnect(instance)
 
-    def known(self) -> list[str]:
-        """Return the ids of all instances with a known address."""
-        return list(self._addresses)
+    def forget(self, instance: str) -> None:
+        """Drop an instance's address and the connection to it."""
+        self._addresses.pop(instance, None)
+        self.reconnect(instance)
+
+    def close_idle(self, now: float) -> None:
+        """Close the connections that nothing used for a while."""
+        for instance, peer in list(self._peers.items()):
+            if now - peer.used > IDLE_S:
+                self.reconnect(instance)
 
     def reconnect(self, instance: str) -> None:
         """Drop the connection to a peer; the next message opens a new one."""
@@ -91,6 +99,7 @@
         peer = self._peer(instance)
         if peer is None:
             return False
+        peer.used = asyncio.get_running_loop().time()
         frame = encode(self._me.id, self._incarnation, self._me.address, message)
         try:
             peer.socket.send(frame, zmq.NOBLOCK)
@@ -165,9 +174,16 @@
         address = self._addresses.get(instance)
         if address is None:
             return None
-        peer = _Peer(address, self._connect(address))
+        try:
+            peer = _Peer(address, self._connect(address))
+        except zmq.ZMQError as error:
+            # The list may hold anything; a bad address must not end a handler.
+            self._metrics.count("link_bad_addresses")
+            logger.warning(
+                "no such address", extra={"peer": instance, "reason": str(error)}
+            )
+            return None
         self._peers[instance] = peer
-        self.on_connect(instance)
         return peer
 
     def _connect(self, address: str) -> zmq.Socket:
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -1,17 +1,20 @@
 """Reads and watches the platform's configuration service.
 
-The service speaks the key-value part of Consul's HTTP interface: one blocking
-query over the whole tree, with the revision in the `X-Consul-Index` header.
+The service speaks the key-value part of Consul's HTTP interface, with the
+revision in the `X-Consul-Index` header. The watch is a blocking query for the
+names at the root, which is answered by a few bytes; all documents are read only
+by the instance whose turn it is, and handed on from there.
 """
 
 import asyncio
 import base64
 import logging
-from collections.abc import Callable
 
 import aiohttp
 from mode import Service
 
+from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.relay import Relay
 from ebonyglade.wire.control import ConfigItem
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.settings import PlatformSection
@@ -22,24 +25,26 @@
 RETRY_MAX_S = 5.0
 ANSWER_MARGIN_S = 5.0
 
-Snapshot = Callable[[int, list[ConfigItem]], None]
+IDLE_S = 0.2  # between looks at whether to read the platform
 
 
 class PlatformWatcher(Service):
-    """Keeps one blocking query open and hands on each snapshot."""
+    """Keeps one blocking query open while this instance is a reader."""
 
     def __init__(
         self,
         section: PlatformSection,
         metrics: Metrics,
-        on_snapshot: Snapshot,
+        config: ConfigController,
+        relay: Relay,
     ) -> None:
         super().__init__()
         self._section = section
         self._metrics = metrics
-        self._on_snapshot = on_snapshot
+        self._config = config
+        self._relay = relay
         self._session: aiohttp.ClientSession | None = None
-        self._revision = 0
+        self._index = 0
 
     async def on_start(self) -> None:
         """Open the HTTP session."""
@@ -57,8 +62,12 @@
     async def _watch(self) -> None:
         pause = RETRY_S
         while not self.should_stop:
+            if not self._relay.reads:
+                self._index = 0
+                await asyncio.sleep(IDLE_S)
+                continue
             try:
-                await self._query()
+                await self._follow()
                 pause = RETRY_S
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
                 self._metrics.count("platform_errors")
@@ -66,23 +75,37 @@
                 await asyncio.sleep(pause)
                 pause = min(RETRY_MAX_S, pause * 2)
 
-    async def _query(self) -> None:
-        self._metrics.count("platform_calls")
+    async def _follow(self) -> None:
+        """Wait for one change; read it unless a neighbour hands it on first."""
+        wait = f"{int(self._section.wait_s * 1000)}ms"
+        query = {"keys": "true", "separator": "/", "index": str(self._index)}
+        revision, _ = await self._get({**query, "wait": wait})
+        # An index that went back means another copy: the next query starts anew.
+        went_back = revision < self._index
+        self._index = 0 if went_back else revision
+        if went_back:
+            await asyncio.sleep(RETRY_S)
+        if revision <= self._config.store.revision:
+            return
+        await asyncio.sleep(self._relay.read_delay(revision))
+        if revision > self._config.store.revision:
+            await self._read()
+
+    async def _read(self) -> None:
+        self._metrics.count("platform_reads")
+        revision, rows = await self._get({"recurse": "true"})
         prefix = self._section.prefix
-        url = f"{self._section.url}/v1/kv/{prefix}/"
-        query = {"recurse": "true", "index": str(self._revision)}
-        query["wait"] = f"{int(self._section.wait_s * 1000)}ms"
+        items = [item_of(row, prefix) for row in rows]
+        self._config.take_snapshot(revision, items)
+
+    async def _get(self, query: dict[str, str]) -> tuple[int, list]:
+        self._metrics.count("platform_calls")
+        url = f"{self._section.url}/v1/kv/{self._section.prefix}/"
         async with self._session.get(url, params=query) as answer:
             if answer.status not in (200, 404):
                 raise ValueError(f"status {answer.status}")
-            revision = int(answer.headers["X-Consul-Index"])
-            documents = await answer.json() if answer.status == 200 else []
-        # An index that went back means another copy: the next query starts anew.
-        went_back = revision < self._revision
-        self._revision = 0 if went_back else revision
-        self._on_snapshot(revision, [item_of(row, prefix) for row in documents])
-        if went_back:
-            await asyncio.sleep(RETRY_S)
+            rows = await answer.json() if answer.status == 200 else []
+            return int(answer.headers["X-Consul-Index"]), rows
 
 
 def item_of(row: dict, prefix: str) -> ConfigItem:
--- a/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
@@ -5,10 +5,12 @@
 import random
 import secrets
 import time
+from typing import Protocol
 
 from mode import Service
 
 from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.relay import Relay
 from ebonyglade.context import Context, Identity
 from ebonyglade.events import Event
 from ebonyglade.invariants import Invariants
@@ -25,6 +27,15 @@
 logger = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 8
+PRUNE_S = 10.0  # between two rounds that close idle connections
+
+
+class Core(Protocol):
+    """What every core has, of entries and agents."""
+
+    peers: Peers
+    config: ConfigController
+    relay: Relay
 
 
 def clock() -> float:
@@ -51,24 +62,25 @@
             count=self.metrics.count,
             invariants=Invariants(count=self.metrics.count),
         )
-        self.runner = TimerRunner(self.context.timers, clock)
-        self.runner.on_pause.append(self._on_pause)
+        self.runner = TimerRunner(self.context)
         self.config: ConfigController | None = None
-        self._peers: Peers | None = None
+        self._core: Core | None = None
         self._watcher: PlatformWatcher | None = None
         for peer in settings.peers:
             self.link.learn(peer.id, peer.address)
 
-    def attach(self, peers: Peers, config: ConfigController) -> None:
+    def attach(self, core: Core) -> None:
         """Join the core's heartbeats and configuration with the outside."""
-        self._peers = peers
-        self.config = config
+        self._core = core
+        self.config = core.config
         self.link.on_message = self._on_message
-        self.link.on_connect = peers.watch
         self._watcher = PlatformWatcher(
-            self.settings.platform, self.metrics, config.take_snapshot
+            self.settings.platform, self.metrics, core.config, core.relay
         )
-        self.metrics.gauge("config_revision", lambda: config.store.revision)
+        self.metrics.gauge("config_revision", lambda: core.config.store.revision)
+        self.metrics.gauge("config_followers", lambda: len(core.relay.followers))
+        self.metrics.gauge("config_reader", lambda: int(core.relay.reads))
+        self.context.every(PRUNE_S, self.link.close_idle)
         self.context.events.listen(Event.PEER_CHANGED, _log_peer)
 
     def on_init_dependencies(self) -> list[Service]:
@@ -77,17 +89,12 @@
 
     async def on_started(self) -> None:
         """Greet the neighbours, who may know a newer revision."""
-        for peer in self.settings.peers:
-            self._peers.watch(peer.id)
-        self._peers.tick(clock())
+        self._core.relay.start(tuple(peer.id for peer in self.settings.peers))
 
     def _on_message(self, sender: Sender, message: Message) -> None:
-        self._peers.heard(sender)
+        self._core.peers.heard(sender)
         self.context.deliver(sender, message)
 
-    def _on_pause(self, gap: float) -> None:
-        self.context.events.send(Event.PAUSED, gap)
-
 
 def _log_peer(instance: str, change: Change, incarnation: str) -> None:
     logger.info("peer changed", extra={"peer": instance, "change": change.value})
--- a/packages/ebonyglade-node/src/ebonyglade_node/timers.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/timers.py
@@ -2,39 +2,34 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 from mode import Service
 
-from ebonyglade.timer import TimerService
+from ebonyglade.context import Context
+from ebonyglade.events import Event
 
 logger = logging.getLogger(__name__)
 
-PAUSE_S = 1.0  # a gap between two rounds that counts as a pause
 LONGEST_SLEEP_S = 0.1
 
 
 class TimerRunner(Service):
-    """Calls due subscribers; tells listeners of pauses before anything else."""
+    """Calls due subscribers; a pause is told before anything else."""
 
-    def __init__(self, timers: TimerService, clock: Callable[[], float]) -> None:
+    def __init__(self, context: Context) -> None:
         super().__init__()
-        self._timers = timers
-        self._clock = clock
-        self.on_pause: list[Callable[[float], None]] = []
+        self._context = context
+        context.events.listen(Event.PAUSED, _log_pause)
 
     @Service.task
     async def _run(self) -> None:
-        last = self._clock()
+        timers = self._context.timers
         while not self.should_stop:
-            now = self._clock()
-            if now - last > PAUSE_S:
-                self._tell_pause(now - last)
-            last = now
-            self._timers.fire(now)
-            await asyncio.sleep(self._timers.delay(now, LONGEST_SLEEP_S))
-
-    def _tell_pause(self, gap: float) -> None:
-        logger.warning("process was paused", extra={"seconds": round(gap, 3)})
-        for listener in self.on_pause:
-            listener(gap)
+            self._context.pauses.check()
+            now = self._context.clock()
+            timers.fire(now)
+            await asyncio.sleep(timers.delay(now, LONGEST_SLEEP_S))
+
+
+def _log_pause(gap: float) -> None:
+    logger.warning("process was paused", extra={"seconds": round(gap, 3)})
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -1,13 +1,15 @@
 """The agent's decisions, composed; the daemon adds sockets and clocks."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.freshness import Freshness
+from ebonyglade.config.relay import Relay
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.members.peers import Peers
-from ebonyglade.ports import Engine, ServiceCaller
+from ebonyglade.pause import GuardedEngine, GuardedService
+from ebonyglade.ports import Engine, Sender, ServiceCaller
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
@@ -45,22 +47,30 @@
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.relay = Relay(context, self.peers, self.config)
+        self.freshness = Freshness(context, self.peers, self.config, self.relay)
+        check = context.pauses.check
         self.worker = Worker(
-            engine,
-            service,
+            GuardedEngine(engine, check) if engine else None,
+            GuardedService(service, check) if service else None,
             context.transport,
             context.clock,
             SlotTable(limits.slots, limits.pieces, limits.lease_s),
             limits.prefill_slots,
         )
-        self.peers.revision = lambda: self.config.store.revision
-        self.peers.on_revision = self.config.heard_revision
+        context.events.listen(Event.PAUSED, self._on_paused)
+        context.handle({Leaving: self._on_leaving})
         context.handle(self.worker.handlers)
         context.every(EXPIRE_S, self.worker.tick)
 
-    def drain(self, known: Callable[[], list[str]]) -> None:
-        """Announce a planned stop and refuse new work."""
-        for instance in known():
-            self.context.send(instance, Leaving())
+    def _on_paused(self, seconds: float) -> None:
+        """Give up at once what ran out during the pause."""
+        self.worker.tick(self.context.clock())
+
+    def _on_leaving(self, sender: Sender, message: Leaving) -> None:
+        self.relay.leaving(sender.instance)
+
+    def drain(self) -> None:
+        """Announce a planned stop to whom it concerns and refuse new work."""
         self.worker.drain()
         self.context.events.send(Event.DRAINING)
--- a/packages/ebonyglade/src/ebonyglade/audit.py
+++ b/packages/ebonyglade/src/ebonyglade/audit.py
@@ -15,6 +15,7 @@
     REJECTED = "rejected"
     REMOVED = "removed"
     IGNORED = "ignored"
+    WARNED = "warned"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ebonyglade/src/ebonyglade/config/controller.py
+++ b/packages/ebonyglade/src/ebonyglade/config/controller.py
@@ -3,8 +3,9 @@
 import logging
 
 from ebonyglade.audit import AuditRecord, AuditTrail
+from ebonyglade.config.checks import warn
 from ebonyglade.config.store import ConfigStore
-from ebonyglade.config.view import View, build
+from ebonyglade.config.view import Indexer, View
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.ports import Sender
@@ -12,6 +13,9 @@
 
 logger = logging.getLogger(__name__)
 
+_NOBODY = (-1, 0.0)
+ASK_AGAIN_S = 0.5  # after which another neighbour is asked
+
 
 class ConfigController:
     """Takes configuration from the platform and from neighbours.
@@ -24,14 +28,14 @@
         self._context = context
         self.audit = AuditTrail(context.wall, listener=_log)
         self.store = ConfigStore(self.audit)
-        self._view = View()
+        self._indexer = Indexer()
+        self._asked = _NOBODY
         context.handle({ConfigAsk: self._on_ask, ConfigPush: self._on_push})
-        context.events.listen(Event.VIEW_CHANGED, self._learn_addresses)
 
     @property
     def view(self) -> View:
         """The configuration in force."""
-        return self._view
+        return self._indexer.view
 
     @property
     def ready(self) -> bool:
@@ -43,35 +47,49 @@
         self._refresh(self.store.apply_snapshot(revision, items))
 
     def heard_revision(self, instance: str, revision: int) -> None:
-        """Ask a neighbour that knows a newer revision for it."""
-        if revision > self.store.revision:
-            self._context.send(instance, ConfigAsk(self.store.revision))
+        """Ask a neighbour that knows a newer revision for it.
+
+        While one is being asked no other is, unless it lets itself be waited
+        for; so each change is transferred once.
+        """
+        known, now = self.store.revision, self._context.clock()
+        if revision <= known:
+            return
+        asked, at = self._asked
+        if asked == known and now - at < ASK_AGAIN_S:
+            return
+        self._asked = (known, now)
+        self.ask(instance)
+
+    def ask(self, instance: str) -> None:
+        """Ask a neighbour for what it knows and is not known here."""
+        ask = ConfigAsk(self.store.revision, self.store.invalid())
+        self._context.send(instance, ask)
 
     def _on_ask(self, sender: Sender, message: ConfigAsk) -> None:
-        self._context.send(sender.instance, self.store.push_since(message.since))
+        push = self.store.push_since(message.since, message.invalid)
+        self._context.send(sender.instance, push)
 
     def _on_push(self, sender: Sender, message: ConfigPush) -> None:
         changed = self.store.apply_push(message)
-        if changed is None:
-            self.heard_revision(sender.instance, message.revision)
-            return
-        self._refresh(changed)
+        self._asked = _NOBODY
+        if changed is not None:
+            self._refresh(changed)
+        newest = max(message.newest, message.revision)
+        self.heard_revision(sender.instance, newest)
 
     def _refresh(self, changed: set[str]) -> None:
-        before = self._view.revision
-        if not changed and before == self.store.revision:
+        before = self.view
+        if not changed and before.revision == self.store.revision:
             return
-        self._view = build(self.store)
+        view = self._indexer.apply(self.store, changed)
+        warn(self.store, self._indexer, changed, self.audit)
         self._context.invariants.require(
-            self._view.revision >= before,
+            view.revision >= before.revision,
             "configuration_never_reverts",
-            f"{before} -> {self._view.revision}",
+            f"{before.revision} -> {view.revision}",
         )
-        self._context.events.send(Event.VIEW_CHANGED, self._view)
-
-    def _learn_addresses(self, view: View) -> None:
-        for name, instance in view.instances.items():
-            self._context.transport.learn(name, instance.address)
+        self._context.events.send(Event.VIEW_CHANGED, view)
 
 
 def _log(record: AuditRecord) -> None:
--- a/packages/ebonyglade/src/ebonyglade/config/published.py
+++ b/packages/ebonyglade/src/ebonyglade/config/published.py
@@ -15,6 +15,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from result import Err, Ok, Result
 
+MAX_VALUE_BYTES = 1024 * 1024
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_FIRST_TOKEN_S = 0.64
 DEFAULT_BETWEEN_TOKENS_S = 0.048
@@ -23,7 +24,7 @@
 class Document(BaseModel):
     """Base of all documents: who changed it last, and a free note."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
     author: str = ""
     note: str = ""
@@ -131,16 +132,26 @@
 
 
 def parse(path: str, text: str) -> Result[Document, str]:
-    """Return the document at a path, or why it is invalid, with its line."""
+    """Return the document at a path, or why it is invalid, with its line.
+
+    No text makes this raise: whatever a value holds must not end a process.
+    """
     model = _model_of(path)
     if model is None:
         return Err("no document is expected at this path")
+    if len(text) > MAX_VALUE_BYTES or len(text.encode()) > MAX_VALUE_BYTES:
+        return Err(f"larger than {MAX_VALUE_BYTES} bytes")
     try:
         return Ok(model.model_validate(tomllib.loads(text)))
     except tomllib.TOMLDecodeError as error:
         return Err(f"not TOML: {error}")
     except ValidationError as error:
         return Err("; ".join(_explain(item, text) for item in error.errors()))
+    except RecursionError:
+        return Err("not TOML: nested too deeply")
+    except (ValueError, OverflowError) as error:
+        # Numbers with thousands of digits end here.
+        return Err(f"not TOML: {error}")
 
 
 def _model_of(path: str) -> type[Document] | None:
@@ -152,12 +163,13 @@
 
 def _explain(item: dict, text: str) -> str:
     name = ".".join(str(part) for part in item["loc"])
-    line = _line_of(name, text)
+    line = line_of(name, text)
     place = f"line {line}: " if line else ""
     return f"{place}{name}: {item['msg']}"
 
 
-def _line_of(name: str, text: str) -> int:
+def line_of(name: str, text: str) -> int:
+    """Return the line of a TOML text that sets a field; zero if none does."""
     first = name.split(".")[0]
     for number, line in enumerate(text.splitlines(), 1):
         if line.strip().startswith(first):
--- a/packages/ebonyglade/src/ebonyglade/config/view.py
+++ b/packages/ebonyglade/src/ebonyglade/config/view.py
@@ -1,7 +1,9 @@
 """The view in force: the store's documents indexed for requests."""
 
 import hashlib
-from dataclasses import dataclass, field
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
 from ebonyglade.config.published import Instance, Key, Route, Workspace
 from ebonyglade.config.store import ConfigStore
@@ -70,26 +72,174 @@
 
 def build(store: ConfigStore) -> View:
     """Return the indexes over a store's documents."""
-    view = View(revision=store.revision)
-    adders = {
-        Workspace: _add_workspace,
-        Key: _add_key,
-        Route: _add_route,
-        Instance: _add_instance,
-    }
-    for path, accepted in sorted(store.documents.items()):
-        adders[type(accepted.document)](view, path.split("/"), accepted.document)
+    return Indexer().apply(store, store.documents)
+
+
+class Indexer:
+    """Keeps the indexes up to date, at a cost that follows what changed.
+
+    A view that was handed out never changes: an index that changes is copied.
+    Workspaces and keys are updated path by path; routes and instances, which
+    are few or change seldom, are indexed anew when one of them changes.
+
+    A key counts only while its workspace exists. Where several documents claim
+    one digest, the oldest revision holds and a withdrawal by any of them
+    counts, so that no team can take over another's key.
+    """
+
+    def __init__(self) -> None:
+        self._view = View()
+        self._keys: dict[str, tuple[str, str]] = {}
+        self._claims: dict[str, set[str]] = defaultdict(set)
+        self._keys_of: dict[str, set[str]] = defaultdict(set)
+        self._paths: dict[str, set[str]] = {kind: set() for kind in _REBUILT}
+
+    @property
+    def view(self) -> View:
+        """The newest view."""
+        return self._view
+
+    def claims(self, key_digest: str) -> set[str]:
+        """Return the paths of the key documents with this digest."""
+        return self._claims.get(key_digest, set())
+
+    def apply(self, store: ConfigStore, changed: Iterable[str]) -> View:
+        """Return a new view after the documents at some paths changed."""
+        view = replace(self._view, revision=store.revision)
+        by_kind: dict[str, list[str]] = defaultdict(list)
+        for path in sorted(changed):
+            by_kind[kind_of(path)].append(path)
+        digests = self._apply_workspaces(view, store, by_kind["workspaces"])
+        digests |= self._apply_keys(store, by_kind["keys"])
+        self._index_keys(view, store, digests)
+        for kind, rebuild in _REBUILT.items():
+            if by_kind[kind]:
+                self._note_paths(kind, store, by_kind[kind])
+                rebuild(view, store, sorted(self._paths[kind]))
+        self._view = view
+        return view
+
+    def _apply_workspaces(
+        self, view: View, store: ConfigStore, paths: list[str]
+    ) -> set[str]:
+        """Update the workspaces and return the digests of keys that they have."""
+        if not paths:
+            return set()
+        view.workspaces = dict(view.workspaces)
+        digests = set()
+        for path in paths:
+            parts = path.split("/")
+            name = f"{parts[1]}/{parts[3]}"
+            accepted = store.documents.get(path)
+            existed = view.workspaces.pop(name, None) is not None
+            if accepted is not None:
+                _add_workspace(view, parts, accepted.document)
+            if existed != (accepted is not None):
+                digests |= {self._keys[key][0] for key in self._keys_of[name]}
+        return digests
+
+    def _apply_keys(self, store: ConfigStore, paths: list[str]) -> set[str]:
+        """Note what key documents say and return the digests concerned."""
+        digests = set()
+        for path in paths:
+            before = self._keys.pop(path, None)
+            if before is not None:
+                digests.add(before[0])
+                self._claims[before[0]].discard(path)
+                self._keys_of[before[1]].discard(path)
+            accepted = store.documents.get(path)
+            if accepted is not None:
+                key: Key = accepted.document
+                workspace = f"{path.split('/')[1]}/{key.workspace}"
+                digests.add(key.digest)
+                self._keys[path] = (key.digest, workspace)
+                self._claims[key.digest].add(path)
+                self._keys_of[workspace].add(path)
+        return digests
+
+    def _index_keys(self, view: View, store: ConfigStore, digests: set[str]) -> None:
+        if not digests:
+            return
+        view.keys = dict(view.keys)
+        for key_digest in digests:
+            owner = self._owner(view, store, key_digest)
+            if owner is None:
+                view.keys.pop(key_digest, None)
+            else:
+                view.keys[key_digest] = owner
+
+    def _owner(self, view: View, store: ConfigStore, key_digest: str) -> Owner | None:
+        paths = self._claims[key_digest]
+        if not paths:
+            del self._claims[key_digest]
+            return None
+        oldest = min(
+            paths, key=lambda path: (store.documents[path].item.revision, path)
+        )
+        workspace = self._keys[oldest][1]
+        if workspace not in view.workspaces:
+            return None
+        withdrawn = any(store.documents[path].document.withdrawn for path in paths)
+        return Owner(workspace, oldest.split("/")[1], withdrawn)
+
+    def _note_paths(self, kind: str, store: ConfigStore, changed: list[str]) -> None:
+        for path in changed:
+            if path in store.documents:
+                self._paths[kind].add(path)
+            else:
+                self._paths[kind].discard(path)
+
+
+def kind_of(path: str) -> str:
+    """Return the part of a path that names the kind of its document."""
+    parts = path.split("/")
+    return parts[1] if parts[0] == "platform" else parts[2]
+
+
+def _index_routes(view: View, store: ConfigStore, paths: list[str]) -> None:
+    view.models, view.services = {}, []
+    holders = open_holders(store, paths)
+    for path in paths:
+        route: Route = store.documents[path].document
+        if route.open and holders[claim_of(route)] != path:
+            route = route.model_copy(update={"open": False})
+        _add_route(view, path.split("/"), route)
     view.services.sort(key=lambda entry: (-len(entry.route.path), entry.name))
-    return view
 
 
-def _add_workspace(view: View, parts: list[str], document: Workspace) -> None:
-    view.workspaces[f"{parts[1]}/{parts[3]}"] = document
+def _index_instances(view: View, store: ConfigStore, paths: list[str]) -> None:
+    view.instances = {}
+    for path in paths:
+        _add_instance(view, path.split("/"), store.documents[path].document)
+
 
+_REBUILT = {"routes": _index_routes, "instances": _index_instances}
 
-def _add_key(view: View, parts: list[str], document: Key) -> None:
-    workspace = f"{parts[1]}/{document.workspace}"
-    view.keys[document.digest] = Owner(workspace, parts[1], document.withdrawn)
+
+def claim_of(route: Route) -> tuple[str, str]:
+    """Return what callers name to reach a route: a model or a path."""
+    if route.kind == "model":
+        return "model", route.model
+    return "path", route.path.rstrip("/")
+
+
+def open_holders(
+    store: ConfigStore, paths: Iterable[str]
+) -> dict[tuple[str, str], str]:
+    """Return the open route that serves callers without a key, by claim.
+
+    The oldest revision holds, so that no team can take over another's callers.
+    """
+    holders: dict[tuple[str, str], str] = {}
+    for path in sorted(paths, key=lambda path: store.documents[path].item.revision):
+        route: Route = store.documents[path].document
+        if route.open:
+            holders.setdefault(claim_of(route), path)
+    return holders
+
+
+def _add_workspace(view: View, parts: list[str], document: Workspace) -> None:
+    view.workspaces[f"{parts[1]}/{parts[3]}"] = document
 
 
 def _add_route(view: View, parts: list[str], document: Route) -> None:
--- a/packages/ebonyglade/src/ebonyglade/context.py
+++ b/packages/ebonyglade/src/ebonyglade/context.py
@@ -6,6 +6,7 @@
 
 from ebonyglade.events import Events
 from ebonyglade.invariants import Invariants
+from ebonyglade.pause import GuardedTransport, PauseGuard
 from ebonyglade.ports import Clock, Sender, Transport
 from ebonyglade.timer import Subscription, TimerService
 from ebonyglade.wire.base import Message
@@ -49,6 +50,7 @@
         events: named events that parts hook into.
         invariants: assertions of what must always hold.
         handlers: handler of each message type.
+        pauses: notices pauses of this process.
     """
 
     me: Identity
@@ -61,6 +63,11 @@
     events: Events = field(default_factory=Events)
     invariants: Invariants = field(default_factory=Invariants)
     handlers: dict[type[Message], Handler] = field(default_factory=dict)
+    pauses: PauseGuard = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.pauses = PauseGuard(self.clock, self.events)
+        self.transport = GuardedTransport(self.transport, self.pauses)
 
     def handle(self, handlers: dict[type[Message], Handler]) -> None:
         """Add handlers by message type."""
@@ -80,6 +87,7 @@
 
     def deliver(self, sender: Sender, message: Message) -> None:
         """Hand a message to its handler; unhandled types are counted."""
+        self.pauses.check()
         handler = self.handlers.get(type(message))
         if handler is None:
             self.count("messages_unhandled")
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -2,14 +2,18 @@
 
 from ebonyglade.calls import Call, Chain, Reply
 from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.freshness import Freshness
+from ebonyglade.config.relay import Relay
 from ebonyglade.context import Context
 from ebonyglade.dispatch.attempts import PairAttempts
 from ebonyglade.dispatch.choice import Inflight
 from ebonyglade.dispatch.exchange import Exchange
 from ebonyglade.dispatch.filters import check_size, find_route, identify
+from ebonyglade.dispatch.keys import KeyGuard
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.dispatch.services import ServiceDispatcher
 from ebonyglade.events import Event
+from ebonyglade.members.avoid import Avoidance
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
 from ebonyglade.ports import Sender
@@ -36,13 +40,18 @@
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.relay = Relay(context, self.peers, self.config)
+        self.freshness = Freshness(context, self.peers, self.config, self.relay)
+        self.keys = KeyGuard(context)
         self.exchange = Exchange(context.transport)
         self.inflight = Inflight()
+        self.avoidance = Avoidance(context, self.inflight.avoid)
         parts = (self.exchange, self.inflight, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
         self.models = ModelDispatcher(pairs, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id)
-        self.run = Chain([identify, find_route, check_size]).around(self._dispatch)
+        filters = [self.freshness.hold, self.keys.guard, identify, find_route]
+        self.run = Chain([*filters, check_size]).around(self._dispatch)
         self._wire()
 
     async def _dispatch(self, call: Call) -> Reply:
@@ -50,31 +59,34 @@
         return await dispatcher.run(call)
 
     def _wire(self) -> None:
-        self.peers.revision = lambda: self.config.store.revision
-        self.peers.on_revision = self.config.heard_revision
         self.context.handle(dict.fromkeys(ANSWERS, self.exchange.deliver))
-        self.context.handle({Leaving: self._on_leaving})
+        self.context.handle({Leaving: self._on_leaving, Failed: self._on_failed})
         self.context.events.listen(Event.PEER_CHANGED, self._on_peer_changed)
+        self.context.events.listen(Event.PEER_FORGOTTEN, self._on_forgotten)
         self.context.every(RENEW_S, self._renew)
 
     def _on_leaving(self, sender: Sender, message: Message) -> None:
-        self.inflight.avoid.add(sender.instance)
+        self.avoidance.leaving(sender)
+        self.relay.leaving(sender.instance)
 
-    def _on_peer_changed(self, instance: str, change: Change, incarnation: str) -> None:
-        _PEER_EFFECTS[change](self, instance, incarnation)
+    def _on_failed(self, sender: Sender, message: Failed) -> None:
+        if message.code == "stopping":
+            self.avoidance.leaving(sender)
+        self.exchange.deliver(sender, message)
+
+    def _on_forgotten(self, instance: str) -> None:
+        if not self.inflight.counts[instance]:
+            del self.inflight.counts[instance]
 
-    def _suspect(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.add(instance)
+    def _on_peer_changed(self, instance: str, change: Change, incarnation: str) -> None:
+        effect = _PEER_EFFECTS.get(change)
+        if effect is not None:
+            effect(self, instance, incarnation)
 
     def _lost(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.add(instance)
         self.exchange.peer_lost(instance)
 
-    def _back(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.discard(instance)
-
     def _restarted(self, instance: str, incarnation: str) -> None:
-        self.inflight.avoid.discard(instance)
         self.exchange.peer_lost(instance, incarnation)
 
     def _renew(self, now: float) -> None:
@@ -87,8 +99,6 @@
 
 
 _PEER_EFFECTS = {
-    Change.SUSPECT: EntryCore._suspect,
     Change.LOST: EntryCore._lost,
-    Change.BACK: EntryCore._back,
     Change.RESTARTED: EntryCore._restarted,
 }
--- a/packages/ebonyglade/src/ebonyglade/events.py
+++ b/packages/ebonyglade/src/ebonyglade/events.py
@@ -10,6 +10,7 @@
 
     VIEW_CHANGED = "view_changed"  # (view: View)
     PEER_CHANGED = "peer_changed"  # (instance: str, change: Change, incarnation: str)
+    PEER_FORGOTTEN = "peer_forgotten"  # (instance: str), once it is not listed
     PAUSED = "paused"  # (seconds: float), sent before anything else runs
     DRAINING = "draining"  # (), once a planned stop has begun
 
--- a/packages/ebonyglade/src/ebonyglade/ports.py
+++ b/packages/ebonyglade/src/ebonyglade/ports.py
@@ -30,6 +30,10 @@
         """Remember where an instance takes messages."""
         ...
 
+    def forget(self, instance: str) -> None:
+        """Drop the address of an instance and the connection to it."""
+        ...
+
     def reconnect(self, instance: str) -> None:
         """Drop the connection to an instance; the next message opens a new one."""
         ...
--- a/packages/ebonyglade/src/ebonyglade/wire/control.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/control.py
@@ -6,23 +6,54 @@
 
 
 class Ping(Message, frozen=True):
-    """Heartbeat: asks for a `Pong` and tells the newest revision seen."""
+    """Heartbeat: asks for a `Pong` and tells the newest revision seen.
+
+    Attributes:
+        seq: number of the sender's round of heartbeats.
+        revision: newest revision that the sender has.
+        follow: whether the sender wants to be told of new revisions.
+        deaf: whether the sender has heard nothing for too long, so that the
+            receiver should answer over a new connection.
+    """
 
     seq: int
     revision: int = 0
+    follow: bool = False
+    deaf: bool = False
 
 
 class Pong(Message, frozen=True):
-    """Answer to a `Ping`."""
+    """Answer to a `Ping`.
+
+    Attributes:
+        seq: the `seq` of the `Ping`.
+        revision: newest revision that the sender has.
+        stale: whether the sender has not confirmed its configuration since its
+            start or a pause.
+    """
 
     seq: int
     revision: int = 0
+    stale: bool = False
+
+
+class ConfigNews(Message, frozen=True):
+    """Tells a follower that a newer revision is here."""
+
+    revision: int
 
 
 class ConfigAsk(Message, frozen=True):
-    """Asks for all configuration newer than `since`."""
+    """Asks for all configuration newer than `since`.
+
+    Attributes:
+        since: newest revision that the asker has.
+        invalid: paths whose newest value is invalid, each with the revision of
+            the last valid one that the asker knows; zero if none.
+    """
 
     since: int
+    invalid: list[tuple[str, int]] = []
 
 
 class ConfigItem(msgspec.Struct, frozen=True, array_like=True):
@@ -38,10 +69,14 @@
 
     Attributes:
         since: the items are complete for all changes after this revision.
-        revision: newest revision that the sender has.
+        revision: revision up to which the items are complete.
         items: newest published value of each changed path.
         removed: paths removed after `since`, with the revision of removal.
-        good: last valid value of each path whose newest value is invalid.
+        good: last valid value of paths whose newest value is invalid.
+        newest: newest revision that the sender has; more follows on a further
+            `ConfigAsk` while it is above `revision`.
+        paths: all paths that exist at `newest`, where the sender can't tell
+            every removal after `since`; others are gone. None otherwise.
     """
 
     since: int
@@ -49,6 +84,8 @@
     items: list[ConfigItem] = []
     removed: list[tuple[str, int]] = []
     good: list[ConfigItem] = []
+    newest: int = 0
+    paths: list[str] | None = None
 
 
 class Load(Message, frozen=True):
@@ -76,6 +113,7 @@
 MESSAGES = (
     Ping,
     Pong,
+    ConfigNews,
     ConfigAsk,
     ConfigPush,
     Load,
