--- a/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/service.py
@@ -26,7 +26,7 @@
         self.node.attach(self.core)
         self.http = HttpServer(self._settings.http, self.node, self.core.run)
         metrics = self.node.metrics
-        metrics.gauge("open_requests", lambda: self.http.open_requests)
+        metrics.gauge("open_requests", lambda: self.http.doorkeeper.open_requests)
         metrics.gauge("dropped_answers", lambda: self.core.exchange.dropped)
         await self.add_runtime_dependency(self.node)
         await self.add_runtime_dependency(
@@ -37,4 +37,4 @@
     async def drain(self) -> None:
         """Announce the stop and finish what is under way."""
         self.node.context.events.send(Event.DRAINING)
-        await self.http.drain()
+        await self.http.doorkeeper.drain()
--- a/packages/ebonyglade/src/ebonyglade/config/relay.py
+++ b/packages/ebonyglade/src/ebonyglade/config/relay.py
@@ -10,6 +10,7 @@
 from ebonyglade.ports import Sender
 from ebonyglade.wire.control import ConfigNews, Leaving
 
+OWNER = "relay"  # of the peers that are held
 FOLLOW_TERM_S = 3.5  # a follower that was not heard for so long is dropped
 MAX_FOLLOWERS = 64
 ORPHAN_AFTER_S = 3.0  # silence of all parents after which the platform is read
@@ -141,10 +142,10 @@
     def _settle(self, place: topology.Place) -> None:
         before, self._place = self._place, place
         for name in set(before.parents) - set(place.parents):
-            self._peers.release(name)
+            self._peers.release(name, OWNER)
         fresh = [name for name in place.parents if name not in before.parents]
         for name in fresh:
-            self._peers.hold(name)
+            self._peers.hold(name, OWNER)
         if not before.parents:
             self._heard_parent = self._context.clock()
 
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -45,7 +45,7 @@
         self.keys = KeyGuard(context)
         self.exchange = Exchange(context.transport)
         self.inflight = Inflight()
-        self.avoidance = Avoidance(context, self.inflight.avoid)
+        self.avoidance = Avoidance(context, self.peers, self.inflight.avoid)
         parts = (self.exchange, self.inflight, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
         self.models = ModelDispatcher(pairs, context.clock)
--- a/packages/ebonyglade/src/ebonyglade/members/avoid.py
+++ b/packages/ebonyglade/src/ebonyglade/members/avoid.py
@@ -7,8 +7,11 @@
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.members.health import Change
+from ebonyglade.members.peers import Peers
 from ebonyglade.ports import Sender
 
+OWNER = "leaving"  # of the peers that are held
+
 
 class Reason(Enum):
     """Why an agent is avoided."""
@@ -25,7 +28,8 @@
     live; being heard does not end it.
     """
 
-    def __init__(self, context: Context, avoid: set[str]) -> None:
+    def __init__(self, context: Context, peers: Peers, avoid: set[str]) -> None:
+        self._peers = peers
         self._avoid = avoid
         self._reasons: dict[str, set[Reason]] = defaultdict(set)
         self._left: dict[str, tuple[str, object]] = {}
@@ -36,27 +40,28 @@
 
     def leaving(self, sender: Sender) -> None:
         """Give nothing new to an instance that announced its stop."""
-        entry = self._view.instances.get(sender.instance)
-        self._left.setdefault(sender.instance, (sender.incarnation, entry))
+        if sender.instance not in self._left:
+            entry = self._view.instances.get(sender.instance)
+            self._left[sender.instance] = (sender.incarnation, entry)
         self._add(sender.instance, Reason.LEAVING)
-
-    def heard(self, sender: Sender) -> None:
-        """Use an instance again once another process runs there."""
-        left = self._left.get(sender.instance)
-        if left is not None and left[0] != sender.incarnation:
-            self._stays(sender.instance)
+        # Heartbeats tell when another process runs there.
+        self._peers.hold(sender.instance, OWNER, sender.incarnation)
 
     def forget(self, instance: str) -> None:
         """Drop everything about an instance that left."""
         self._reasons.pop(instance, None)
-        self._left.pop(instance, None)
+        if self._left.pop(instance, None) is not None:
+            self._peers.release(instance, OWNER)
         self._avoid.discard(instance)
 
     def _on_peer(self, instance: str, change: Change, incarnation: str) -> None:
         if change in (Change.SUSPECT, Change.LOST):
             self._add(instance, Reason.SILENT)
-        else:
-            self._lift(instance, Reason.SILENT)
+            return
+        self._lift(instance, Reason.SILENT)
+        left = self._left.get(instance)
+        if change is Change.RESTARTED and left is not None and left[0] != incarnation:
+            self._stays(instance)
 
     def _on_view(self, view: View) -> None:
         self._view = view
@@ -67,6 +72,7 @@
 
     def _stays(self, instance: str) -> None:
         del self._left[instance]
+        self._peers.release(instance, OWNER)
         self._lift(instance, Reason.LEAVING)
 
     def _add(self, instance: str, reason: Reason) -> None:
--- a/packages/ebonyglade/src/ebonyglade/members/health.py
+++ b/packages/ebonyglade/src/ebonyglade/members/health.py
@@ -58,9 +58,10 @@
     def __init__(self) -> None:
         self._peers: dict[str, _Peer] = {}
 
-    def watch(self, instance: str, now: float) -> None:
+    def watch(self, instance: str, now: float, incarnation: str = "") -> None:
         """Start to expect messages from a peer."""
-        self._peers.setdefault(instance, _Peer(now))
+        peer = self._peers.setdefault(instance, _Peer(now))
+        peer.incarnation = peer.incarnation or incarnation
 
     def forget(self, instance: str) -> None:
         """Stop to expect messages from a peer."""
--- a/packages/ebonyglade/src/ebonyglade/members/peers.py
+++ b/packages/ebonyglade/src/ebonyglade/members/peers.py
@@ -1,5 +1,7 @@
 """Heartbeats with the peers that this instance needs, and no others."""
 
+from collections import defaultdict
+
 from ebonyglade.config.view import View
 from ebonyglade.context import Context
 from ebonyglade.events import Event
@@ -33,7 +35,7 @@
         self._health = HealthTable()
         self._addresses = Addresses(context.transport)
         self._seq = 0
-        self._held: set[str] = set()
+        self._held: dict[str, set[str]] = defaultdict(set)
         self._used: dict[str, float] = {}
         self._recent: dict[str, float] = {}
         self._renewed: dict[str, float] = {}
@@ -65,15 +67,23 @@
         self._used[instance] = now
         self._health.watch(instance, now)
 
-    def hold(self, instance: str) -> None:
-        """Expect messages from a peer until `release`."""
-        self._held.add(instance)
-        self._health.watch(instance, self._context.clock())
+    def hold(self, instance: str, owner: str, incarnation: str = "") -> None:
+        """Expect messages from a peer until `release`.
+
+        Args:
+            instance: the peer.
+            owner: part of the program that needs the peer.
+            incarnation: process that runs there, if it is known.
+        """
+        self._held[instance].add(owner)
+        self._health.watch(instance, self._context.clock(), incarnation)
         self._ping(instance)
 
-    def release(self, instance: str) -> None:
+    def release(self, instance: str, owner: str) -> None:
         """End `hold`; a suspect peer stays watched until it is back."""
-        self._held.discard(instance)
+        self._held[instance].discard(owner)
+        if not self._held[instance]:
+            del self._held[instance]
 
     def recent(self) -> list[str]:
         """Return who sent a message in the last `RECENT_S` seconds."""
@@ -104,11 +114,11 @@
                 self._ping(instance)
 
     def _due(self, instance: str, now: float) -> bool:
-        if instance in self._held:
-            return True
         if self._health.health(instance) is Health.LOST:
             # Many may be lost at once; each gets its turn in another round.
             return self._seq % PROBE_ROUNDS == hash_of(instance) % PROBE_ROUNDS
+        if instance in self._held:
+            return True
         silent = self._health.silence(instance, now) >= HEARTBEAT_S / 2
         return silent or self._seq % FLOWING_ROUNDS == 0
 
@@ -148,12 +158,13 @@
             if before.get(name) is not instance:
                 self._addresses.listed(name, instance.address)
         for name in before.keys() - view.instances.keys():
-            if name not in self._recent:
-                self._forget(name)
+            self._forget(name)
 
     def _forget(self, instance: str) -> None:
         self._health.forget(instance)
         self._used.pop(instance, None)
+        self._recent.pop(instance, None)
+        self._renewed.pop(instance, None)
         self._addresses.forget(instance)
         self._context.transport.forget(instance)
         self._context.events.send(Event.PEER_FORGOTTEN, instance)
