--- a/packages/ebonyglade/src/ebonyglade/config/published.py
+++ b/packages/ebonyglade/src/ebonyglade/config/published.py
@@ -16,6 +16,11 @@
 from result import Err, Ok, Result
 
 MAX_VALUE_BYTES = 1024 * 1024
+MAX_TOLD = 5  # problems of one document that are told
+# A key with so many dotted parts; a parser's time grows with their square.
+_DEEP_KEY = re.compile(
+    r"""(?<![\w"'-])(?:(?:[\w-]+|"[^"\n]*"|'[^'\n]*')[ \t]*\.[ \t]*){8}"""
+)
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_FIRST_TOKEN_S = 0.64
 DEFAULT_BETWEEN_TOKENS_S = 0.048
@@ -141,12 +146,14 @@
         return Err("no document is expected at this path")
     if len(text) > MAX_VALUE_BYTES or len(text.encode()) > MAX_VALUE_BYTES:
         return Err(f"larger than {MAX_VALUE_BYTES} bytes")
+    if _DEEP_KEY.search(text):
+        return Err("not TOML as expected: a key has too many dotted parts")
     try:
         return Ok(model.model_validate(tomllib.loads(text)))
     except tomllib.TOMLDecodeError as error:
         return Err(f"not TOML: {error}")
     except ValidationError as error:
-        return Err("; ".join(_explain(item, text) for item in error.errors()))
+        return Err("; ".join(_explain(item, text) for item in error.errors()[:MAX_TOLD]))
     except RecursionError:
         return Err("not TOML: nested too deeply")
     except (ValueError, OverflowError) as error:
