Cause reader deaths, silent connections, withdrawals and replaced instances in tests

Last valid values are asked for again by heartbeats, so that a new instance whose platform only has the invalid one gets them. Each mechanism's test also shows the failure without it.

--- a/packages/ebonyglade/src/ebonyglade/config/freshness.py
+++ b/packages/ebonyglade/src/ebonyglade/config/freshness.py
@@ -86,7 +86,11 @@
             return
         if not self._config.ready or message.revision > self._config.store.revision:
             return
+        first = instance not in self._answered
         self._answered.add(instance)
+        if first and any(at == 0 for _, at in self._config.store.invalid()):
+            # The neighbour may hold last valid values; it was just asked.
+            return
         starting = self._first_seq == 0
         if not message.stale or (starting and self._all_answered()):
             self._fresh.set()
--- a/packages/ebonyglade/src/ebonyglade/config/published.py
+++ b/packages/ebonyglade/src/ebonyglade/config/published.py
@@ -153,7 +153,9 @@
     except tomllib.TOMLDecodeError as error:
         return Err(f"not TOML: {error}")
     except ValidationError as error:
-        return Err("; ".join(_explain(item, text) for item in error.errors()[:MAX_TOLD]))
+        return Err(
+            "; ".join(_explain(item, text) for item in error.errors()[:MAX_TOLD])
+        )
     except RecursionError:
         return Err("not TOML: nested too deeply")
     except (ValueError, OverflowError) as error:
--- a/packages/ebonyglade/src/ebonyglade/config/relay.py
+++ b/packages/ebonyglade/src/ebonyglade/config/relay.py
@@ -14,6 +14,7 @@
 FOLLOW_TERM_S = 3.5  # a follower that was not heard for so long is dropped
 MAX_FOLLOWERS = 64
 ORPHAN_AFTER_S = 3.0  # silence of all parents after which the platform is read
+ASK_GOOD_AGAIN_S = 10.0  # between two asks of one parent for last valid values
 READ_STEP_S = 0.25  # between the turns of readers for one revision
 READ_TURNS = 5
 READ_SPREAD_S = 0.5
@@ -39,6 +40,7 @@
         self._followers: dict[str, float] = {}
         self._heard_parent = context.clock()
         self._told = 0
+        self._asked_good: dict[str, tuple[tuple, float]] = {}
         self.seeds: tuple[str, ...] = ()
         peers.revision = lambda: config.store.revision
         peers.on_revision = self._on_revision
@@ -93,8 +95,20 @@
     def _on_revision(self, instance: str, revision: int) -> None:
         if instance in self._place.parents:
             self._heard_parent = self._context.clock()
+            self._ask_for_good(instance)
         self._config.heard_revision(instance, revision)
 
+    def _ask_for_good(self, parent: str) -> None:
+        """Ask for last valid values of paths whose newest value is invalid."""
+        invalid = tuple(self._config.store.invalid())
+        now = self._context.clock()
+        known, at = self._asked_good.get(parent, ((), 0.0))
+        if invalid == known and (not invalid or now - at < ASK_GOOD_AGAIN_S):
+            return
+        self._asked_good[parent] = (invalid, now)
+        if invalid:
+            self._config.ask(parent)
+
     def _on_news(self, sender: Sender, message: ConfigNews) -> None:
         self._config.heard_revision(sender.instance, message.revision)
 
@@ -143,6 +157,7 @@
         before, self._place = self._place, place
         for name in set(before.parents) - set(place.parents):
             self._peers.release(name, OWNER)
+            self._asked_good.pop(name, None)
         fresh = [name for name in place.parents if name not in before.parents]
         for name in fresh:
             self._peers.hold(name, OWNER)
--- /dev/null
+++ b/tests/test_config_keys.py
@@ -0,0 +1,130 @@
+import asyncio
+
+import pytest
+
+from ebonyglade.config.view import digest
+from ebonyglade.dispatch.keys import KeyGuard
+from ebonyglade.verdict import Verdict
+from ebonyglade_lab.virtual import endpoints
+from ebonyglade_lab.virtual.loop import run
+from helpers.worlds import KEY, small_world
+
+STOPS_WITHIN_S = 4.0  # a withdrawn key stops working within seconds
+
+
+def withdraw(world):
+    return world.platform.publish(
+        "teams/aula/keys/physics",
+        digest=digest(KEY),
+        workspace="physics",
+        withdrawn=True,
+    )
+
+
+@pytest.fixture(autouse=True)
+def slow_tokens(monkeypatch):
+    monkeypatch.setattr(endpoints, "TOKEN_S", 0.2)
+
+
+@pytest.fixture
+def without_guard(monkeypatch):
+    async def passes(self, call, proceed):
+        return await proceed(call)
+
+    monkeypatch.setattr(KeyGuard, "guard", passes)
+
+
+async def _withdrawn_in_mid_stream():
+    world = small_world()
+    await asyncio.sleep(1)
+    call = world.model_call(KEY, "a long answer", max_tokens=1024)
+    task = asyncio.ensure_future(world.call("entry-0", call))
+    await asyncio.sleep(0.2)
+    other = world.model_call("aula/history", "another key", max_tokens=1024)
+    untouched = asyncio.ensure_future(world.call("entry-0", other))
+    await asyncio.sleep(0.2)
+    withdraw(world)
+    at = world.now()
+    outcome = await task
+    assert (await untouched).whole
+    await asyncio.sleep(1)
+    held = [engine for engine in world.engines.values() if engine.jobs]
+    return outcome, outcome.ended - at, held, world
+
+
+def test_stream_is_cut_off_with_a_marked_failure():
+    outcome, took, held, world = run(_withdrawn_in_mid_stream())
+    assert outcome.tokens and not outcome.whole
+    assert outcome.refusal.code == "key_withdrawn"
+    assert outcome.refusal.verdict is Verdict.RAN
+    assert took < STOPS_WITHIN_S
+    assert held == []
+    assert world.nodes["entry-0"].core.keys.open_uses == 0
+
+
+def test_without_the_guard_the_stream_goes_on(without_guard):
+    assert run(_withdrawn_in_mid_stream())[0].whole
+
+
+def test_request_that_waits_is_refused():
+    async def scenario():
+        world = small_world()
+        await asyncio.sleep(1)
+        for engine in world.engines.values():
+            engine.stalled = True
+        call = world.model_call(KEY, "stalls at its import")
+        task = asyncio.ensure_future(world.call("entry-0", call))
+        await asyncio.sleep(0.2)
+        withdraw(world)
+        at = world.now()
+        outcome = await task
+        return outcome, outcome.ended - at
+
+    outcome, took = run(scenario())
+    assert outcome.refusal.code == "key_withdrawn"
+    assert outcome.refusal.verdict is not Verdict.NOT_RUN
+    assert took < STOPS_WITHIN_S
+
+
+@pytest.mark.parametrize("by", ["removal", "move"])
+def test_key_that_is_removed_or_moved_ends_what_runs(by):
+    async def scenario():
+        world = small_world()
+        await asyncio.sleep(1)
+        call = world.model_call(KEY, "a long answer", max_tokens=1024)
+        task = asyncio.ensure_future(world.call("entry-0", call))
+        await asyncio.sleep(0.2)
+        path = "teams/aula/keys/physics"
+        if by == "removal":
+            world.platform.remove(path)
+        else:
+            world.platform.publish(path, digest=digest(KEY), workspace="history")
+        return await task
+
+    assert run(scenario()).refusal.code == "key_withdrawn"
+
+
+def test_withdrawal_reaches_an_entry_that_the_platform_does_not_answer():
+    async def scenario():
+        world = small_world()
+        await asyncio.sleep(1)
+        world.platform.silent.add("entry-0")
+        withdraw(world)
+        await asyncio.sleep(STOPS_WITHIN_S)
+        return await world.call("entry-0", world.model_call(KEY, "late"))
+
+    outcome = run(scenario())
+    assert outcome.refusal.code == "key_withdrawn"
+    assert outcome.refusal.verdict is Verdict.NOT_RUN
+
+
+def test_platform_silent_for_all_serves_on_with_what_is_known():
+    async def scenario():
+        world = small_world()
+        await asyncio.sleep(1)
+        world.platform.silent = set(world.nodes)
+        withdraw(world)
+        await asyncio.sleep(600)
+        return await world.call("entry-0", world.model_call(KEY, "an hour later"))
+
+    assert run(scenario()).whole
--- /dev/null
+++ b/tests/test_config_relay.py
@@ -0,0 +1,164 @@
+import asyncio
+
+import pytest
+
+from ebonyglade.config import relay as relay_module
+from ebonyglade.config.published import Instance
+from ebonyglade.config.relay import Relay
+from ebonyglade.members import topology
+from ebonyglade_lab.virtual.loop import run
+from helpers.fleets_virtual import ZONES, behind, publish_workspace, zoned_world
+
+IN_FORCE_S = 4.0  # the target for a change to be in force everywhere
+
+
+def listed(count, zones=11):
+    return {
+        f"i{number}": Instance(role="agent", address="a", zone=f"z{number % zones:02}")
+        for number in range(count)
+    }
+
+
+@pytest.mark.parametrize("count", [1, 12, 330, 3290])
+def test_degree_is_bounded_and_everybody_is_reached(count):
+    instances = listed(count)
+    orders = topology.orders(instances)
+    places = {
+        name: topology.place(name, item.zone, orders, ())
+        for name, item in instances.items()
+    }
+    followers = dict.fromkeys(instances, 0)
+    for place in places.values():
+        assert len(place.parents) <= topology.READERS + 3
+        for parent in place.parents:
+            followers[parent] += 1
+    assert max(followers.values()) <= 2 * topology.FANOUT + topology.READERS + 3
+    assert sum(place.reads for place in places.values()) <= 11 * topology.READERS
+    reached = {next(name for name in places if places[name].reads)}
+    for _ in range(12):
+        reached |= {
+            name for name in places if reached.intersection(places[name].parents)
+        }
+    assert len(reached) == count
+
+
+def test_change_is_in_force_everywhere_although_only_one_instance_reads():
+    async def scenario():
+        world = zoned_world()
+        await asyncio.sleep(5)
+        readers = [n for n, node in world.nodes.items() if node.core.relay.reads]
+        assert len(readers) < len(world.nodes)
+        world.platform.silent = set(world.nodes) - {readers[-1]}
+        revision = publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        return behind(world, revision)
+
+    assert run(scenario()) == []
+
+
+def test_death_of_all_readers_of_a_zone_delays_no_change(monkeypatch):
+    async def scenario():
+        world = zoned_world()
+        await asyncio.sleep(5)
+        for name, node in list(world.nodes.items()):
+            if node.core.relay.reads and name.startswith("rooms"):
+                world.kill(name)
+        await asyncio.sleep(0.5)
+        revision = publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        return behind(world, revision)
+
+    assert run(scenario()) == []
+    monkeypatch.setattr(Relay, "_on_peer", lambda *args: None)
+    monkeypatch.setattr(relay_module, "ORPHAN_AFTER_S", 1e9)
+    assert run(scenario()) != []
+
+
+def test_zone_that_is_cut_off_from_all_others_reads_by_itself():
+    async def scenario():
+        world = zoned_world()
+        await asyncio.sleep(5)
+        inside = [n for n in world.nodes if int(n.split("-")[1]) % 3 == 0]
+        outside = set(world.nodes) - set(inside)
+        world.network.faults.cut = {frozenset((a, b)) for a in inside for b in outside}
+        revision = publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        return behind(world, revision)
+
+    assert run(scenario()) == []
+
+
+def test_instance_that_no_neighbour_reaches_reads_by_itself(monkeypatch):
+    async def scenario():
+        world = zoned_world(agents=30)
+        await asyncio.sleep(5)
+        lone = next(n for n, x in world.nodes.items() if not x.core.relay.reads)
+        others = set(world.nodes) - {lone}
+        world.network.faults.cut = {frozenset((lone, other)) for other in others}
+        await asyncio.sleep(4)
+        revision = publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        return behind(world, revision)
+
+    assert run(scenario()) == []
+    monkeypatch.setattr(Relay, "_on_peer", lambda *args: None)
+    monkeypatch.setattr(Relay, "_orphaned", lambda self: False)
+    assert len(run(scenario())) == 1
+
+
+def test_restart_does_not_go_back_to_the_platforms_older_copy():
+    """The platform answers all with an older copy; nothing was kept on a disk."""
+
+    async def scenario():
+        world = zoned_world()
+        await asyncio.sleep(3)
+        for name in world.nodes:
+            world.platform.freeze(name)
+        reader = next(n for n, x in world.nodes.items() if x.core.relay.reads)
+        del world.platform.stale[reader]
+        revision = publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        world.platform.stale[reader] = world.platform.stale["entry-0"]
+        for name in list(world.nodes):
+            world.kill(name)
+            world.start(name)
+            await asyncio.sleep(0.5)
+            held = world.nodes[name].core
+            if held.freshness.fresh:
+                assert held.config.view.revision >= revision, name
+        await asyncio.sleep(IN_FORCE_S)
+        return behind(world, revision)
+
+    assert run(scenario()) == []
+
+
+def test_new_instance_gets_a_last_good_value_that_the_platform_lost():
+    async def scenario():
+        world = zoned_world()
+        await asyncio.sleep(2)
+        path = "teams/aula/workspaces/physics"
+        world.platform.publish(path, rate=-1.0, burst=1.0)
+        publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        world.kill("entry-0")
+        world.start("entry-0")
+        await asyncio.sleep(IN_FORCE_S)
+        return world.nodes["entry-0"].core.config.view.workspaces
+
+    assert run(scenario())["aula/physics"].rate == 50_000.0
+
+
+def test_few_instances_call_the_platform_and_one_reads_each_change():
+    async def scenario(changes):
+        world = zoned_world(agents=45)
+        await asyncio.sleep(5)
+        calls, reads = world.platform.calls, world.platform.reads
+        for number in range(changes):
+            publish_workspace(world, f"w{number}")
+            await asyncio.sleep(2)
+        return world.platform.calls - calls, world.platform.reads - reads
+
+    calls, reads = run(scenario(10))
+    readers = len(ZONES) * topology.READERS
+    assert reads <= 10 * 2
+    assert calls - reads <= readers * (10 + 1)
--- a/tests/test_config_view.py
+++ b/tests/test_config_view.py
@@ -11,9 +11,7 @@
 
 def key(text, workspace, withdrawn=False):
     flag = str(withdrawn).lower()
-    return (
-        f'workspace = "{workspace}"\ndigest = "{digest(text)}"\nwithdrawn = {flag}\n'
-    )
+    return f'workspace = "{workspace}"\ndigest = "{digest(text)}"\nwithdrawn = {flag}\n'
 
 
 def route(path, open_to_all=False, pool="rooms"):
--- /dev/null
+++ b/tests/test_members_health.py
@@ -0,0 +1,209 @@
+import asyncio
+
+import pytest
+
+from ebonyglade.members.addresses import Addresses
+from ebonyglade.members.health import Change, Health, HealthTable
+from ebonyglade.members.peers import Peers
+from ebonyglade.wire.control import Leaving
+from ebonyglade_lab.virtual.loop import run
+from helpers.fleets_virtual import zoned_world
+from helpers.worlds import KEY, small_world
+
+RECOVERS_WITHIN_S = 4.0  # a silent connection, as docs/design/membership.md states
+NOTHING_NEW_AFTER_S = 4.0  # a leaving endpoint gets no new work after a few seconds
+
+
+class Learned:
+    """A transport that notes the addresses it learns."""
+
+    def __init__(self):
+        self.address = None
+
+    def learn(self, instance, address):
+        self.address = address
+
+
+def test_lagging_list_does_not_undo_what_the_instance_says():
+    transport = Learned()
+    addresses = Addresses(transport)
+    addresses.listed("a", "old")
+    addresses.direct("a", "1", "old")
+    addresses.direct("a", "2", "new")
+    addresses.listed("a", "old")
+    assert transport.address == "new"
+    addresses.direct("a", "1", "old")
+    assert transport.address == "new"
+    addresses.listed("a", "newest")
+    assert transport.address == "newest"
+
+
+def test_late_message_of_a_replaced_process_is_no_restart():
+    health = HealthTable()
+    health.watch("a", 0.0)
+    assert health.heard("a", "1", 1.0) is None
+    assert health.heard("a", "2", 2.0) is Change.RESTARTED
+    assert health.heard("a", "1", 9.0) is None
+    assert health.tick(9.0) == [("a", Change.SUSPECT)]
+
+
+def silent(world, source, target):
+    world.network.faults.silent.add((source, target))
+
+
+async def _silence(pair):
+    """Cut one direction of a used connection for good; return what is known."""
+    world = small_world(entries=1, pairs=1)
+    await asyncio.sleep(2)
+    entry = world.nodes["entry-0"]
+    entry.core.peers.hold("decode-0", "test")
+    await asyncio.sleep(2)
+    silent(world, *pair)
+    worst = Health.LIVE
+    for _ in range(int(RECOVERS_WITHIN_S / 0.1)):
+        await asyncio.sleep(0.1)
+        health = entry.core.peers.health.health("decode-0")
+        worst = Health.LOST if health is Health.LOST else worst
+    await asyncio.sleep(0.2)
+    return worst, world.network.faults.silent
+
+
+@pytest.mark.parametrize("pair", [("entry-0", "decode-0"), ("decode-0", "entry-0")])
+def test_silent_connection_is_replaced_before_the_peer_is_given_up(pair, monkeypatch):
+    assert run(_silence(pair)) == (Health.LIVE, set())
+    if pair[0] == "decode-0":
+        monkeypatch.setattr(Peers, "_renew", lambda *args: None)
+        assert run(_silence(pair))[1] == {pair}
+
+
+def test_connection_that_loses_only_what_is_sent_is_replaced(monkeypatch):
+    """Answers keep coming, so the peer is never suspected."""
+
+    async def scenario():
+        world = small_world(entries=1, pairs=1)
+        await asyncio.sleep(2)
+        entry, agent = world.nodes["entry-0"], world.nodes["decode-0"]
+        entry.core.peers.hold("decode-0", "test")
+        await asyncio.sleep(1)
+        silent(world, "entry-0", "decode-0")
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            agent.context.send("entry-0", Leaving())
+        return world.network.faults.silent
+
+    assert run(scenario()) == set()
+    monkeypatch.setattr(HealthTable, "unheard", lambda self, now: [])
+    assert run(scenario()) != set()
+
+
+def test_listed_leaving_agent_gets_nothing_new_within_seconds():
+    async def scenario():
+        world = small_world(entries=2, pairs=2)
+        await asyncio.sleep(2)
+        world.list_instance("rooms-0", "agent", "zone-a", "rooms", "service", "leaving")
+        await asyncio.sleep(NOTHING_NEW_AFTER_S)
+        for number in range(40):
+            body = b"%d" % number
+            call = world.service_call(KEY, "POST", "/bookings", body)
+            assert (await world.call(f"entry-{number % 2}", call)).whole
+        return world.services["rooms-0"].executions
+
+    assert not run(scenario())
+
+
+async def _announced(world, calls=40):
+    before = dict(world.services["rooms-0"].executions)
+    for number in range(calls):
+        body = b"%d-%f" % (number, world.now())
+        call = world.service_call(KEY, "POST", "/bookings", body)
+        assert (await world.call("entry-0", call)).whole
+    return len(world.services["rooms-0"].executions) - len(before)
+
+
+def test_announced_stop_holds_until_another_process_runs_there():
+    async def scenario():
+        world = small_world(entries=1, pairs=2)
+        await asyncio.sleep(2)
+        assert await _announced(world) > 0
+        agent = world.nodes["rooms-0"]
+        agent.core.drain()
+        await asyncio.sleep(0.01)
+        # Being silent for a while and heard again does not lift it.
+        world.network.faults.cut = {frozenset(("entry-0", "rooms-0"))}
+        await asyncio.sleep(4)
+        world.network.faults.cut = set()
+        await asyncio.sleep(8)
+        assert "rooms-0" in world.nodes["entry-0"].core.inflight.avoid
+        assert await _announced(world) == 0
+        world.kill("rooms-0")
+        world.start("rooms-0")
+        await asyncio.sleep(8)
+        return await _announced(world)
+
+    assert run(scenario()) > 0
+
+
+def test_announced_stop_ends_when_the_list_shows_the_agent_anew():
+    async def scenario():
+        world = small_world(entries=1, pairs=2)
+        await asyncio.sleep(2)
+        assert await _announced(world) > 0
+        world.nodes["rooms-0"].context.send("entry-0", Leaving())
+        await asyncio.sleep(0.1)
+        assert await _announced(world) == 0
+        world.list_instance("rooms-0", "agent", "zone-a", "rooms", "service")
+        await asyncio.sleep(NOTHING_NEW_AFTER_S)
+        return await _announced(world)
+
+    assert run(scenario()) > 0
+
+
+def test_agent_that_was_never_reached_is_avoided():
+    async def scenario():
+        world = small_world(entries=1, pairs=2)
+        world.network.faults.cut = {frozenset(("entry-0", "rooms-0"))}
+        await asyncio.sleep(2)
+        for number in range(10):
+            call = world.service_call(KEY, "POST", "/bookings", b"%d" % number)
+            await world.call("entry-0", call)
+        await asyncio.sleep(4)
+        return world.nodes["entry-0"].core.inflight.avoid
+
+    assert "rooms-0" in run(scenario())
+
+
+def test_instances_that_left_are_forgotten():
+    async def scenario():
+        world = zoned_world(agents=6, entries=2)
+        await asyncio.sleep(2)
+        for number in range(40):
+            name = f"rooms-{number % 6}" if number < 6 else f"new-{number - 6}"
+            for turn in range(4):
+                body = b"%d-%d" % (number, turn)
+                call = world.service_call(KEY, "POST", "/bookings", body)
+                await world.call("entry-0", call)
+            world.nodes[name].core.drain()
+            world.platform.remove(f"platform/instances/{name}")
+            world.kill(name)
+            world.add_service(f"new-{number}")
+            await asyncio.sleep(2)
+        await asyncio.sleep(70)
+        core = world.nodes["entry-0"].core
+        listed = core.config.view.instances.keys()
+        held = {
+            "health": core.peers.health.watched(),
+            "held": core.peers._held,
+            "recent": core.peers._recent,
+            "listed": core.peers._addresses._listed,
+            "direct": core.peers._addresses._direct,
+            "avoid": core.inflight.avoid,
+            "left": core.avoidance._left,
+            "reasons": core.avoidance._reasons,
+            "counts": core.inflight.counts,
+            "down": core.relay._down,
+            "followers": core.relay.followers,
+        }
+        return {name: set(table) - set(listed) for name, table in held.items()}
+
+    left = run(scenario())
+    assert not any(left.values()), left
