--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -7,8 +7,11 @@
 
 import fire
 
-from ebonyglade_lab import demo, deployment, operator
+from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
+from ebonyglade_lab import demo, deployment, operator, reference
+from ebonyglade_lab.experiments import choosing, idle, placement
 from ebonyglade_lab.fleet import KEY, FleetSize
+from ebonyglade_lab.fuzz import command
 
 
 class Commands:
@@ -22,6 +25,17 @@
         if not report.good:
             sys.exit(1)
 
+    def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
+        """Run the decisions under seeded faults and judge them by an oracle."""
+        logging.basicConfig(level=logging.CRITICAL)
+        try:
+            good = command.fuzz(seeds, steps, jobs)
+        except UserError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_USER_ERROR)
+        if not good:
+            sys.exit(EXIT_FAILURE)
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
@@ -75,6 +89,39 @@
         """
         print(operator.ask(deployment.read_plan(Path(directory)), prompt, key))
 
+    def idle(self, seconds: float = 30.0) -> None:
+        """Measure memory, processor time and control bytes of idle daemons.
+
+        Args:
+            seconds: how long to measure.
+        """
+        table = idle.run(seconds)
+        table.record("idle")
+        print(table.markdown())
+
+    def placement(self, jobs: int = 3) -> None:
+        """Compare ways to place requests, with their goodput and waste.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = placement.table(placement.measure_all(jobs))
+        table.record("placement")
+        print(table.markdown())
+
+    def choosing(self) -> None:
+        """Measure herding under lagging reports and what a choice costs."""
+        for name, table in (
+            ("herding", choosing.herding()),
+            ("choice-cost", choosing.cost()),
+        ):
+            table.record(name)
+            print(table.markdown())
+
+    def reference(self) -> None:
+        """Write docs/settings.md from the models of all settings."""
+        reference.write()
+
 
 def main() -> None:
     """Run the command line."""
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/process.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/process.py
@@ -24,7 +24,8 @@
     incarnation: str
     dead: bool = False
     _stood_since: float | None = None
-    _tasks: set[asyncio.Task] = field(default_factory=set)
+    # A dict keeps the order in which tasks are cancelled the same in every run.
+    _tasks: dict[asyncio.Task, None] = field(default_factory=dict)
     _awake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -63,6 +64,9 @@
         self._stood_since = None
         self._awake.set()
 
+    def _forget(self, task: asyncio.Task) -> None:
+        self._tasks.pop(task, None)
+
     async def awake(self) -> None:
         """Wait while the process stands still; a dead one never goes on."""
         await self._awake.wait()
@@ -87,8 +91,8 @@
         context = options.get("context")
         process = context[_current] if context else _current.get()
         if process is not None:
-            process._tasks.add(task)
-            task.add_done_callback(process._tasks.discard)
+            process._tasks[task] = None
+            task.add_done_callback(process._forget)
         return task
 
     loop.set_task_factory(factory)
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/watcher.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/watcher.py
@@ -8,7 +8,7 @@
 from ebonyglade_lab.virtual.process import Process
 
 WATCH_WAIT_S = 30.0  # that one watch waits for a change
-RETRY_S = 0.5
+LOOK_S = 0.2  # in which a watch learns of a change
 
 
 @dataclass(slots=True)
@@ -27,9 +27,16 @@
     _seen: int = -1
     _waits_until: float = 0.0
     _read_at: float | None = None
+    _look_at: float = 0.0
+
+    @property
+    def due(self) -> float:
+        """Virtual seconds of the next step."""
+        return self._look_at if self._read_at is None else self._read_at
 
     def step(self, now: float) -> None:
         """Do what is due at `now`, virtual seconds."""
+        self._look_at = now + LOOK_S
         if not self.core.relay.reads:
             self._seen, self._waits_until, self._read_at = -1, 0.0, None
             return
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -13,12 +13,14 @@
 from ebonyglade.context import Context, Identity
 from ebonyglade.entry import EntryCore
 from ebonyglade.invariants import Invariants
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.verdict import Refusal
 from ebonyglade_lab.virtual.endpoints import (
     EngineState,
     ServiceState,
     VirtualEngine,
     VirtualService,
+    Watcher,
 )
 from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
 from ebonyglade_lab.virtual.platform import VirtualPlatform
@@ -26,9 +28,12 @@
 from ebonyglade_lab.virtual.watcher import VirtualWatcher
 
 TICK_S = 0.05
+LONGEST_SLEEP_S = 0.25
 ZONES = ("zone-a", "zone-b", "zone-c")
 MODEL_POOL = "abstracts"
 SERVICE_POOL = "rooms"
+# A world that starts at once: it removes no instance that still runs.
+QUICK_TERMS = Terms(lease_s=0.4, removal_s=0.0, seal_s=1.0, groups=16)
 
 
 @dataclass(slots=True)
@@ -54,7 +59,7 @@
         refusal: why there is no whole answer.
         started: virtual seconds when the request was sent.
         first: virtual seconds of the first token; zero if there was none.
-        ended: virtual seconds when it was over.
+        ended: virtual seconds when it was over; zero while it is not.
     """
 
     tokens: list[str] = field(default_factory=list)
@@ -67,10 +72,26 @@
     ended: float = 0.0
 
 
+@dataclass(slots=True)
+class Sent:
+    """A request under way: its task in the entry and what the caller has."""
+
+    task: asyncio.Task
+    outcome: Outcome
+
+
 class World:
     """A small fleet; build and use it inside a virtual loop."""
 
-    def __init__(self, seed: int, strict: bool = True) -> None:
+    def __init__(
+        self,
+        seed: int,
+        strict: bool = True,
+        terms: Terms = QUICK_TERMS,
+        watcher: Watcher | None = None,
+    ) -> None:
+        self.terms = terms
+        self.watcher = watcher or Watcher()
         self.rng = random.Random(seed)
         self.network = Network(random.Random(seed + 1))
         self.platform = VirtualPlatform()
@@ -90,7 +111,7 @@
 
     def add_entry(self, name: str, zone: str = ZONES[0]) -> Node:
         """List an entry on the platform and start it."""
-        self._makers[name] = lambda context, process: EntryCore(context)
+        self._makers[name] = lambda context, process: EntryCore(context, self.terms)
         self.list_instance(name, "entry", zone)
         return self.start(name)
 
@@ -103,12 +124,12 @@
     ) -> Node:
         """List an agent with a model engine beside it and start it."""
         limits = limits or EndpointLimits()
-        state = EngineState(name, limits.slots)
+        state = EngineState(name, limits.slots, limits.pieces, watcher=self.watcher)
         self.engines[name] = state
 
         def make(context: Context, process: Process) -> AgentCore:
             engine = VirtualEngine(state, process, self.engines)
-            return AgentCore(context, limits, engine=engine)
+            return AgentCore(context, limits, engine=engine, terms=self.terms)
 
         self._makers[name] = make
         self.list_instance(name, "agent", zone, MODEL_POOL, stage)
@@ -121,12 +142,17 @@
         limits: EndpointLimits | None = None,
     ) -> Node:
         """List an agent with a plain service beside it and start it."""
-        state = ServiceState(name)
+        state = ServiceState(name, watcher=self.watcher)
         self.services[name] = state
 
         def make(context: Context, process: Process) -> AgentCore:
             service = VirtualService(state, process)
-            return AgentCore(context, limits or EndpointLimits(), service=service)
+            return AgentCore(
+                context,
+                limits or EndpointLimits(),
+                service=service,
+                terms=self.terms,
+            )
 
         self._makers[name] = make
         self.list_instance(name, "agent", zone, SERVICE_POOL, "service")
@@ -164,7 +190,10 @@
             clock=process.clock,
             wall=loop.time,
             rng=random.Random(self.rng.getrandbits(64)),
-            invariants=Invariants(strict=self._strict),
+            invariants=Invariants(
+                strict=self._strict,
+                count=lambda counter, by: self.watcher.violated(name, counter),
+            ),
         )
         core = self._makers[name](context, process)
         node = Node(process, context, transport, core)
@@ -193,14 +222,20 @@
 
     async def call(self, entry: str, call: Call) -> Outcome:
         """Send a request to an entry and return what the caller gets."""
+        sent = self.submit(entry, call)
+        await asyncio.wait([sent.task])
+        if not sent.task.cancelled() and sent.task.exception() is not None:
+            raise sent.task.exception()
+        return sent.outcome
+
+    def submit(self, entry: str, call: Call) -> Sent:
+        """Send a request to an entry without waiting for its end."""
         outcome = Outcome(started=self.now())
         node = self.nodes[entry]
         task = node.process.spawn(self._collect(node, call, outcome))
-        await asyncio.wait([task])
-        outcome.ended = self.now()
-        if not task.cancelled() and task.exception() is not None:
-            raise task.exception()
-        return outcome
+        sent = Sent(task, outcome)
+        task.add_done_callback(lambda task: self._ended(outcome))
+        return sent
 
     def model_call(self, key: str, prompt: str, max_tokens: int = 64) -> Call:
         """Return a model request as an entry's HTTP server would make it."""
@@ -256,9 +291,13 @@
             key=key,
         )
 
+    def _ended(self, outcome: Outcome) -> None:
+        outcome.ended = self.now()
+
     async def _collect(self, node: Node, call: Call, outcome: Outcome) -> None:
         call.view = node.core.config.view
         reply = await node.core.run(call)
+        await node.process.awake()
         if isinstance(reply, Err):
             outcome.refusal = reply.err_value
             return
@@ -288,7 +327,10 @@
             node.context.pauses.check()
             watcher.step(now)
             node.context.timers.fire(now)
-            await asyncio.sleep(TICK_S)
+            due = min(
+                watcher.due - now, node.context.timers.delay(now, LONGEST_SLEEP_S)
+            )
+            await asyncio.sleep(max(TICK_S, due))
 
     def _receive(self, node: Node, frame: bytes) -> None:
         if node.process.dead:
@@ -300,5 +342,6 @@
         node.process.enter(self._handle, node, sender, message)
 
     def _handle(self, node: Node, sender: object, message: object) -> None:
+        self.watcher.heard(node.process.instance, sender, message)
         node.core.peers.heard(sender)
         node.context.deliver(sender, message)
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -8,13 +8,17 @@
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.members.peers import Peers
+from ebonyglade.ownership.ownership import Ownership
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.pause import GuardedEngine, GuardedService
 from ebonyglade.ports import Engine, Sender, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
 EXPIRE_S = 0.25
+ADMIT_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +47,7 @@
         limits: EndpointLimits,
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
+        terms: Terms | None = None,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
@@ -50,18 +55,24 @@
         self.relay = Relay(context, self.peers, self.config)
         self.freshness = Freshness(context, self.peers, self.config, self.relay)
         check = context.pauses.check
+        self.ownership = Ownership(
+            context, self.config, terms or Terms(), candidate=False
+        )
         self.worker = Worker(
             GuardedEngine(engine, check) if engine else None,
             GuardedService(service, check) if service else None,
             context.transport,
             context.clock,
-            SlotTable(limits.slots, limits.pieces, limits.lease_s),
+            SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
             limits.prefill_slots,
+            context.invariants,
         )
         context.events.listen(Event.PAUSED, self._on_paused)
         context.handle({Leaving: self._on_leaving})
-        context.handle(self.worker.handlers)
+        self.reports = Reports(context, self.worker.load)
+        context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
+        context.every(ADMIT_S, self.worker.admit)
 
     def _on_paused(self, seconds: float) -> None:
         """Give up at once what ran out during the pause."""
--- a/packages/ebonyglade/src/ebonyglade/config/view.py
+++ b/packages/ebonyglade/src/ebonyglade/config/view.py
@@ -40,6 +40,8 @@
         models: model routes by model name.
         services: service routes, longest path first.
         instances: listed instances by id.
+        pools: ids of the live agents by (pool, stage), in order.
+        entries: ids of the live entries, in order.
     """
 
     revision: int = 0
@@ -48,21 +50,26 @@
     models: dict[str, list[RouteEntry]] = field(default_factory=dict)
     services: list[RouteEntry] = field(default_factory=list)
     instances: dict[str, Instance] = field(default_factory=dict)
+    pools: dict[tuple[str, str], tuple[str, ...]] = field(default_factory=dict)
+    entries: tuple[str, ...] = ()
 
     def owner_of(self, key: str) -> Owner | None:
         """Return whom a key's text belongs to; None if it is not known."""
         return self.keys.get(digest(key))
 
-    def endpoints(self, pool: str, stage: str) -> list[str]:
+    def endpoints(self, pool: str, stage: str) -> tuple[str, ...]:
         """Return the ids of the live agents of a pool's stage."""
-        return [
-            name
-            for name, instance in self.instances.items()
-            if instance.role == "agent"
-            and instance.state == "live"
-            and instance.pool == pool
-            and instance.stage == stage
-        ]
+        return self.pools.get((pool, stage), ())
+
+    def zone_of(self, instance: str) -> str:
+        """Return the availability zone of a listed instance, or ""."""
+        listed = self.instances.get(instance)
+        return listed.zone if listed else ""
+
+    def weight_of(self, workspace: str) -> float:
+        """Return a workspace's fair-share weight; 1 if it is not published."""
+        published = self.workspaces.get(workspace)
+        return published.weight if published else 1.0
 
 
 def digest(key: str) -> str:
@@ -196,7 +203,7 @@
     return parts[1] if parts[0] == "platform" else parts[2]
 
 
-def _index_routes(view: View, store: ConfigStore, paths: list[str]) -> None:
+def _rebuild_routes(view: View, store: ConfigStore, paths: list[str]) -> None:
     view.models, view.services = {}, []
     holders = open_holders(store, paths)
     for path in paths:
@@ -207,13 +214,14 @@
     view.services.sort(key=lambda entry: (-len(entry.route.path), entry.name))
 
 
-def _index_instances(view: View, store: ConfigStore, paths: list[str]) -> None:
+def _rebuild_instances(view: View, store: ConfigStore, paths: list[str]) -> None:
     view.instances = {}
     for path in paths:
         _add_instance(view, path.split("/"), store.documents[path].document)
+    _index_instances(view)
 
 
-_REBUILT = {"routes": _index_routes, "instances": _index_instances}
+_REBUILT = {"routes": _rebuild_routes, "instances": _rebuild_instances}
 
 
 def claim_of(route: Route) -> tuple[str, str]:
@@ -238,6 +246,21 @@
     return holders
 
 
+def _index_instances(view: View) -> None:
+    """Group the live instances once, so that no request has to look at all."""
+    pools: dict[tuple[str, str], list[str]] = {}
+    entries = []
+    for name, instance in view.instances.items():
+        if instance.state != "live":
+            continue
+        if instance.role == "entry":
+            entries.append(name)
+            continue
+        pools.setdefault((instance.pool, instance.stage), []).append(name)
+    view.pools = {key: tuple(names) for key, names in pools.items()}
+    view.entries = tuple(entries)
+
+
 def _add_workspace(view: View, parts: list[str], document: Workspace) -> None:
     view.workspaces[f"{parts[1]}/{parts[3]}"] = document
 
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -1,15 +1,19 @@
 """One attempt of a model request at one pair of endpoints."""
 
+import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from ebonyglade.calls import Call, StreamFailed
-from ebonyglade.dispatch.choice import Inflight, choose
+from ebonyglade.dispatch.binding import PLACES, Binder, Candidate
 from ebonyglade.dispatch.exchange import Attempt, Exchange
 from ebonyglade.dispatch.waiting import wait_for
+from ebonyglade.placement.choice import Ask, Pair, choose_pair, choose_prefill
+from ebonyglade.placement.placer import Placer
+from ebonyglade.placement.prefixes import prompt_blocks
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade.wire.base import Message
@@ -26,8 +30,12 @@
 
 PIECE_TOKENS = 2048  # tokens in one piece of engine memory
 CREDIT_TOKENS = 256  # tokens that an agent may send ahead of the caller
-RESERVE_TIMEOUT_S = 1.0
 CHUNK_TIMEOUT_S = 5.0
+REPLAN_S = 0.05  # after so long a wait the prefill agent is chosen again
+LEAST_LEAD_S = 0.001
+LEAST_PATIENCE_S = 0.1  # for a slot, also when the first token will be late
+NO_ROOM = frozenset({"overloaded", "deadline_infeasible"})
+LEAST_PAUSE_S = 0.05  # before patient work asks again after a refusal
 
 
 @dataclass(slots=True)
@@ -49,13 +57,14 @@
 
 @dataclass(slots=True)
 class PairAttempts:
-    """Runs attempts: reserve a decode slot, prefill, decode."""
+    """Runs attempts: promise of a decode slot, prefill, decode."""
 
     exchange: Exchange
-    inflight: Inflight
+    placer: Placer
     clock: Clock
     rng: random.Random
     new_id: Callable[[], str]
+    places: int = PLACES
 
     async def run(self, call: Call, progress: Progress) -> AsyncIterator[list[str]]:
         """Yield the rest of an answer from one pair of endpoints.
@@ -63,61 +72,132 @@
         Raises:
             StreamFailed: the attempt ended before the answer was whole.
         """
-        pool = call.route.route.pool
-        decode_name = self._choose(call, pool, "decode", progress)
-        prefill_name = self._choose(call, pool, "prefill", progress)
-        decode = self._open(decode_name)
+        ask = self._ask_for(call, progress)
+        pair, decode = await self._promised(call, progress, ask)
         try:
-            await self._reserve(call, progress, decode)
-            source = await self._prefill(call, progress, prefill_name)
+            source = await self._prefill(call, progress, ask, pair.prefill)
             async for tokens in self._decode(call, progress, decode, source):
                 yield tokens
         finally:
             self._close(decode)
 
-    def _choose(self, call: Call, pool: str, stage: str, progress: Progress) -> str:
-        name = choose(
-            call.view, pool, stage, self.inflight, progress.excluded, self.rng
+    def _ask_for(self, call: Call, progress: Progress) -> Ask:
+        return Ask(
+            call.route.route.pool,
+            call.prompt.tokens,
+            prompt_blocks(call.prompt.text),
+            progress.excluded,
         )
-        if name is None:
-            raise StreamFailed(refuse("no_endpoint"))
-        return name
 
-    def _open(self, instance: str) -> Attempt:
-        self.inflight.counts[instance] += 1
+    def _open(self, instance: str, tokens: int) -> Attempt:
+        self.placer.loads.begun(instance, tokens)
         return self.exchange.open(self.new_id(), instance)
 
     def _close(self, attempt: Attempt) -> None:
-        self.inflight.counts[attempt.instance] -= 1
+        self.placer.loads.ended(attempt.instance)
         self.exchange.close(attempt)
 
-    async def _reserve(self, call: Call, progress: Progress, decode: Attempt) -> None:
-        """Hold a decode slot before any prefill is spent."""
+    async def _promised(
+        self, call: Call, progress: Progress, ask: Ask
+    ) -> tuple[Pair, Attempt]:
+        """Return a pair whose decode slot is promised in time for a prefill.
+
+        Patient work asks again after a refusal for lack of room, for as long
+        as its deadline can hold.
+        """
+        asked_at = self.clock()
+        while True:
+            bound = await self._binder(call, progress, ask).bind()
+            if isinstance(bound, Ok):
+                return self._replan(call, ask, bound.ok_value, asked_at)
+            if not _asks_again(call, bound.err_value):
+                raise StreamFailed(bound.err_value)
+            pause = max(LEAST_PAUSE_S, bound.err_value.retry_after or 0.0)
+            pause *= 0.5 + self.rng.random()
+            await asyncio.sleep(min(pause, self._left(call) / 4))
+
+    def _binder(self, call: Call, progress: Progress, ask: Ask) -> Binder:
+        def propose(asked: set[str]) -> Candidate | None:
+            other = replace(ask, excluded=ask.excluded | asked)
+            sight = self.placer.sight(call.view)
+            pair = choose_pair(sight, other, self.rng, self.clock())
+            if pair is None:
+                return None
+            attempt = self._open(pair.decode, call.prompt.tokens)
+            return Candidate(pair, attempt, self._reservation(call, pair, attempt))
+
+        def give_up(candidate: Candidate, refusal: Refusal | None) -> None:
+            self._close(candidate.attempt)
+            if refusal is not None and refusal.code not in NO_ROOM:
+                progress.excluded.add(candidate.pair.decode)
+
+        def waits(candidate: Candidate, ready_in: float) -> None:
+            loads = self.placer.loads
+            loads.found_full(candidate.pair.decode, ready_in, self.clock())
+
+        return Binder(self.exchange, self.clock, propose, give_up, waits, self.places)
+
+    def _replan(
+        self, call: Call, ask: Ask, bound: Candidate, asked_at: float
+    ) -> tuple[Pair, Attempt]:
+        """Choose the prefill agent again if the wait was long."""
+        pair, now = bound.pair, self.clock()
+        if now - asked_at >= REPLAN_S:
+            sight = self.placer.sight(call.view)
+            pair = choose_prefill(sight, ask, pair.decode, self.rng, now) or pair
+        return pair, bound.attempt
+
+    def _reservation(self, call: Call, pair: Pair, decode: Attempt) -> Reserve:
+        route = call.route.route
         tokens = call.prompt.tokens + call.max_tokens
-        within = min(RESERVE_TIMEOUT_S, self._left(call))
-        request = Reserve(
+        patience = self._left(call)
+        if not route.patient:
+            patience = min(patience, self._until_target(call, pair))
+        return Reserve(
             decode.id,
             call.workspace,
             -(-tokens // PIECE_TOKENS),
-            within,
-            priority=call.route.route.priority,
+            patience,
+            call.view.weight_of(call.workspace),
+            route.priority,
+            tokens,
+            call.max_tokens,
+            max(pair.lead_s, LEAST_LEAD_S),
+            route.patient,
+            self.places,
         )
-        # Nothing runs before the slot is held, so a lost answer is still NOT_RUN.
-        silent = refuse("endpoint_down")
-        await self._ask(decode, request, within, silent, Reserved, progress)
 
-    async def _prefill(self, call: Call, progress: Progress, name: str) -> Prefilled:
-        attempt = self._open(name)
+    def _until_target(self, call: Call, pair: Pair) -> float:
+        """Return the seconds within which a slot still meets the first target.
+
+        A prompt that is too long for the target gets at least a short wait.
+        """
+        route = call.route.route
+        passed = self.clock() - call.arrived
+        after = pair.transfer_s + route.between_tokens_s
+        return max(LEAST_PATIENCE_S, route.first_token_s - passed - after)
+
+    async def _prefill(
+        self, call: Call, progress: Progress, ask: Ask, name: str
+    ) -> Prefilled:
+        attempt = self._open(name, call.prompt.tokens)
         try:
             within = self._left(call)
             request = Prefill(
-                attempt.id, call.workspace, call.prompt.model, call.prompt.text, within
+                attempt.id,
+                call.workspace,
+                call.prompt.model,
+                call.prompt.text,
+                within,
+                weight=call.view.weight_of(call.workspace),
+                tokens=call.prompt.tokens,
             )
             silent = refuse("deadline_exceeded")
             answer = await self._ask(
                 attempt, request, within, silent, Prefilled, progress
             )
             progress.prompt_tokens = answer.tokens
+            self.placer.prefixes.touch(name, ask.blocks, self.clock())
             # The export lives on in the engine until it is imported or evicted.
             attempt.ended = True
             return answer
@@ -147,7 +227,8 @@
         progress: Progress,
     ) -> Message:
         if isinstance(answer, Err):
-            progress.excluded.add(attempt.instance)
+            if answer.err_value.code not in NO_ROOM:
+                progress.excluded.add(attempt.instance)
             raise StreamFailed(answer.err_value)
         if not isinstance(answer.ok_value, expected):
             raise StreamFailed(refuse("internal", message="Unexpected answer."))
@@ -172,7 +253,9 @@
         while True:
             within = min(CHUNK_TIMEOUT_S, self._left(call))
             answer = await wait_for(decode, within, self._silence(call))
-            message = self._expect(answer, (Chunk, Done), decode, progress)
+            message = self._expect(answer, (Chunk, Done, Reserved), decode, progress)
+            if isinstance(message, Reserved):
+                continue  # The promise was told again.
             if isinstance(message, Done):
                 decode.ended = True
                 _check_whole(message, progress)
@@ -195,6 +278,10 @@
         return left
 
 
+def _asks_again(call: Call, refusal: Refusal) -> bool:
+    return call.route.route.patient and refusal.code in NO_ROOM
+
+
 def _fresh(chunk: Chunk, progress: Progress) -> list[str]:
     """Return the tokens of a chunk that the caller does not have yet."""
     have = len(progress.tokens)
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -6,7 +6,6 @@
 from ebonyglade.config.relay import Relay
 from ebonyglade.context import Context
 from ebonyglade.dispatch.attempts import PairAttempts
-from ebonyglade.dispatch.choice import Inflight
 from ebonyglade.dispatch.exchange import Exchange
 from ebonyglade.dispatch.filters import check_size, find_route, identify
 from ebonyglade.dispatch.keys import KeyGuard
@@ -16,6 +15,9 @@
 from ebonyglade.members.avoid import Avoidance
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
+from ebonyglade.ownership.ownership import Ownership
+from ebonyglade.ownership.terms import Terms
+from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Sender
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
@@ -36,17 +38,21 @@
 class EntryCore:
     """Runs calls over agents; embeddable, without any I/O of its own."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, terms: Terms | None = None) -> None:
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
         self.relay = Relay(context, self.peers, self.config)
         self.freshness = Freshness(context, self.peers, self.config, self.relay)
         self.keys = KeyGuard(context)
+        self.ownership = Ownership(
+            context, self.config, terms or Terms(), candidate=True
+        )
         self.exchange = Exchange(context.transport)
-        self.inflight = Inflight()
-        self.avoidance = Avoidance(context, self.peers, self.inflight.avoid)
-        parts = (self.exchange, self.inflight, context.clock, context.rng)
+        self.placer = Placer(context)
+        avoid = self.placer.loads.avoid
+        self.avoidance = Avoidance(context, self.peers, avoid)
+        parts = (self.exchange, self.placer, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
         self.models = ModelDispatcher(pairs, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id)
@@ -75,8 +81,7 @@
         self.exchange.deliver(sender, message)
 
     def _on_forgotten(self, instance: str) -> None:
-        if not self.inflight.counts[instance]:
-            del self.inflight.counts[instance]
+        self.placer.forget(instance)
 
     def _on_peer_changed(self, instance: str, change: Change, incarnation: str) -> None:
         effect = _PEER_EFFECTS.get(change)
@@ -84,17 +89,19 @@
             effect(self, instance, incarnation)
 
     def _lost(self, instance: str, incarnation: str) -> None:
+        self.placer.forget(instance)
         self.exchange.peer_lost(instance)
 
     def _restarted(self, instance: str, incarnation: str) -> None:
+        self.placer.forget(instance)
         self.exchange.peer_lost(instance, incarnation)
 
     def _renew(self, now: float) -> None:
         by_agent: dict[str, list[str]] = {}
         for attempt in self.exchange.open_attempts.values():
             by_agent.setdefault(attempt.instance, []).append(attempt.id)
+            self.peers.watch(attempt.instance, attempt.incarnation)
         for instance, attempts in by_agent.items():
-            self.peers.watch(instance)
             self.context.send(instance, Renew(attempts))
 
 
--- a/packages/ebonyglade/src/ebonyglade/members/peers.py
+++ b/packages/ebonyglade/src/ebonyglade/members/peers.py
@@ -61,11 +61,16 @@
         """Number of the newest round of heartbeats."""
         return self._seq
 
-    def watch(self, instance: str) -> None:
-        """Expect messages from a peer while it is used."""
+    def watch(self, instance: str, incarnation: str = "") -> None:
+        """Expect messages from a peer while it is used.
+
+        Args:
+            instance: the peer.
+            incarnation: process that runs there, if it is known.
+        """
         now = self._context.clock()
         self._used[instance] = now
-        self._health.watch(instance, now)
+        self._health.watch(instance, now, incarnation)
 
     def hold(self, instance: str, owner: str, incarnation: str = "") -> None:
         """Expect messages from a peer until `release`.
--- a/tests/test_members_health.py
+++ b/tests/test_members_health.py
@@ -133,7 +133,7 @@
         await asyncio.sleep(4)
         world.network.faults.cut = set()
         await asyncio.sleep(8)
-        assert "rooms-0" in world.nodes["entry-0"].core.inflight.avoid
+        assert "rooms-0" in world.nodes["entry-0"].core.placer.loads.avoid
         assert await _announced(world) == 0
         world.kill("rooms-0")
         world.start("rooms-0")
@@ -167,7 +167,7 @@
             call = world.service_call(KEY, "POST", "/bookings", b"%d" % number)
             await world.call("entry-0", call)
         await asyncio.sleep(4)
-        return world.nodes["entry-0"].core.inflight.avoid
+        return world.nodes["entry-0"].core.placer.loads.avoid
 
     assert "rooms-0" in run(scenario())
 
@@ -196,10 +196,9 @@
             "recent": core.peers._recent,
             "listed": core.peers._addresses._listed,
             "direct": core.peers._addresses._direct,
-            "avoid": core.inflight.avoid,
+            "avoid": core.placer.loads.avoid,
             "left": core.avoidance._left,
             "reasons": core.avoidance._reasons,
-            "counts": core.inflight.counts,
             "down": core.relay._down,
             "followers": core.relay.followers,
         }
