--- a/tests/test_fuzz_mutations.py
+++ b/tests/test_fuzz_mutations.py
@@ -17,6 +17,7 @@
 from ebonyglade.worker.worker import Worker
 from ebonyglade_lab.fuzz.driver import run_seed
 from ebonyglade_lab.virtual.endpoints import VirtualService
+from ebonyglade_lab.virtual.watcher import LOOK_S, VirtualWatcher
 
 STEPS = 1200
 SEEDS = 8
@@ -47,7 +48,15 @@
         self._revision = 0
         return real(self, revision, items)
 
+    def step(self, now):
+        self._look_at = now + LOOK_S
+        copy = self.platform.read(self.process.instance)
+        if copy is not None:
+            self.core.config.take_snapshot(*copy)
+
     patch.setattr(ConfigStore, "apply_snapshot", apply)
+    # A watch leaves copies alone that are not newer, so all is read here.
+    patch.setattr(VirtualWatcher, "step", step)
 
 
 def _ignore_changes(patch):
@@ -109,7 +118,7 @@
 
 def _stop_under_load(patch):
     patch.setattr(Worker, "busy", property(lambda self: 0))
-    patch.setattr(AgentCore, "drain", lambda self, known: None)
+    patch.setattr(AgentCore, "drain", lambda self: None)
     # Retries hide cut-off reads and prompts, so bookings must be under way.
     real = VirtualService.call
 
