--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -7,12 +7,16 @@
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.members.peers import Peers
+from ebonyglade.ownership.ownership import Ownership
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
 EXPIRE_S = 0.25
+ADMIT_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,22 +45,29 @@
         limits: EndpointLimits,
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
+        terms: Terms | None = None,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.ownership = Ownership(
+            context, self.config, terms or Terms(), candidate=False
+        )
         self.worker = Worker(
             engine,
             service,
             context.transport,
             context.clock,
-            SlotTable(limits.slots, limits.pieces, limits.lease_s),
+            SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
             limits.prefill_slots,
+            context.invariants,
         )
+        self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
         self.peers.on_revision = self.config.heard_revision
-        context.handle(self.worker.handlers)
+        context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
+        context.every(ADMIT_S, self.worker.admit)
 
     def drain(self, known: Callable[[], list[str]]) -> None:
         """Announce a planned stop and refuse new work."""
