--- a/packages/ebonyglade/src/ebonyglade/worker/prefills.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/prefills.py
@@ -82,7 +82,8 @@
         dropped = self.queue.add(item)
         if dropped is not None:
             refusal = refuse("overloaded", retry_after=ready)
-            self._turns[dropped.id].set_exception(TurnRefused(refusal))
+            if not self._turns[dropped.id].done():
+                self._turns[dropped.id].set_exception(TurnRefused(refusal))
         self._next()
         try:
             await self._turns[item.id]
@@ -101,6 +102,10 @@
             item = next((item for item in items if now <= item.latest), None)
             if item is None:
                 return
+            if self._turns[item.id].done():
+                # Its task was cancelled and has not run since.
+                self.queue.remove(item.id)
+                continue
             self.queue.grant(item.id, now)
             self._running[item.id] = (now, item.tokens)
             self._turns[item.id].set_result(None)
