--- a/tests/test_fuzz_mutations.py
+++ b/tests/test_fuzz_mutations.py
@@ -3,11 +3,13 @@
 import pytest
 
 from ebonyglade.agent import AgentCore
+from ebonyglade.config import view
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.config.store import ConfigStore
 from ebonyglade.config.view import Owner, View
 from ebonyglade.dispatch import attempts, filters, models
 from ebonyglade.dispatch.services import ServiceDispatcher
+from ebonyglade.entry import EntryCore
 from ebonyglade.worker.memory import EngineMemory
 from ebonyglade.worker.worker import Worker
 from ebonyglade_lab.fuzz.driver import run_seed
@@ -65,14 +67,19 @@
 
 
 def _use_leaving_endpoints(patch):
-    def endpoints(self, pool, stage):
-        return [
-            name
-            for name, instance in self.instances.items()
-            if (instance.pool, instance.stage) == (pool, stage)
-        ]
-
-    patch.setattr(View, "endpoints", endpoints)
+    real = view._index_instances
+
+    def index(found):
+        listed = dict(found.instances)
+        found.instances = {
+            name: instance.model_copy(update={"state": "live"})
+            for name, instance in listed.items()
+        }
+        real(found)
+        found.instances = listed
+
+    patch.setattr(view, "_index_instances", index)
+    patch.setattr(EntryCore, "_on_leaving", lambda self, sender, message: None)
 
 
 def _serve_as_another(patch):
