Start nothing twice when a message comes twice

A Serve that came again after its job ended was answered with NOT_RUN, which overtook the late answer of the first, and the entry tried another agent.

--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -38,6 +38,7 @@
 from ebonyglade.worker.predict import Predictor
 from ebonyglade.worker.prefills import PrefillLine, TurnRefused
 from ebonyglade.worker.slots import SlotTable
+from ebonyglade.worker.started import Started
 
 FIRST_CREDIT_TOKENS = 256
 MAX_WAITING = 128  # reservations or prefills that wait at one agent
@@ -73,6 +74,7 @@
         self._clock = clock
         self._slots = slots
         self._jobs: dict[str, _Job] = {}
+        self._started = Started()
         invariants = invariants or Invariants()
         self._memory = EngineMemory(engine, clock, slots.term, invariants)
         self._admission = Admission(
@@ -110,6 +112,7 @@
         for attempt in self._slots.overdue(now):
             self._end(attempt)
         self._memory.tick(now, self._slots)
+        self._started.forget(now)
 
     def admit(self, now: float) -> None:
         """Start and refuse waiting work as time goes on."""
@@ -139,17 +142,19 @@
         )
 
     def _on_reserve(self, sender: Sender, message: Reserve) -> None:
+        if message.attempt in self._started:
+            return
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
         self._admission.reserve(sender, message, self._clock())
 
     def _on_prefill(self, sender: Sender, message: Prefill) -> None:
+        if message.attempt in self._started:
+            return
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
-        if message.attempt in self._jobs:
-            return
         # Without renewal the prefill of an entry that is gone leaves the line.
         self._slots.add(message.attempt, sender.instance, 0, self._clock())
         self._start(sender, message.attempt, self._prefill(sender, message))
@@ -189,7 +194,7 @@
         message: Message,
     ) -> None:
         """Start a job once, in the slot that its lease promises."""
-        if attempt in self._jobs:
+        if attempt in self._started:
             return
 
         def start() -> None:
@@ -201,9 +206,10 @@
     def _start(
         self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
     ) -> None:
-        if attempt in self._jobs:
+        if attempt in self._started:
             work.close()
             return
+        self._started.add(attempt, self._clock())
         job = _Job(sender)
         self._jobs[attempt] = job
         job.task = asyncio.ensure_future(self._run(sender, attempt, work))
