--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/trace.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/trace.py
@@ -6,6 +6,7 @@
 
 CAPACITY = 20_000  # events
 SHOWN = 40  # events of a printed trace
+MOST_CHARS = 150  # of one event as it is printed
 
 
 @dataclass(slots=True)
@@ -30,7 +31,7 @@
             shown: most events to return.
         """
         chosen = [
-            f"{at:10.3f} s  {text}"
+            f"{at:10.3f} s  {text[:MOST_CHARS]}"
             for at, text in self.events
             if not subjects or subjects.intersection(text.split())
         ]
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -55,6 +55,11 @@
         """Drop what is sent to an instance from now on."""
         self._receivers.pop(instance, None)
 
+    def close_connections(self, instance: str) -> None:
+        """Forget silent connections of a process that ends."""
+        silent = self.faults.silent
+        self.faults.silent = {pair for pair in silent if instance not in pair}
+
     def send(self, source: str, target: str, frame: bytes) -> None:
         """Take a frame on its way."""
         self.frames += 1
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -208,6 +208,7 @@
     def kill(self, name: str) -> None:
         """End an instance's process at once."""
         self.network.detach(name)
+        self.network.close_connections(name)
         self.nodes[name].process.kill()
 
     def pause(self, name: str) -> None:
