--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -15,6 +15,8 @@
 from ebonyglade_lab.virtual.endpoints import POISON, RESTART_S, Watcher
 from ebonyglade_lab.virtual.world import World
 
+SERVER_ERROR = 500  # least HTTP status that blames the service
+
 
 class Oracle(Watcher):
     """Sees every execution and every outcome of a world.
@@ -266,8 +268,10 @@
             return
         self.counts["calm"] += 1
         refusal = outcome.refusal
+        # A status below 500 tells of the caller's key, ticket or request.
+        cut = refusal is not None and refusal.status >= SERVER_ERROR
         self.require(
-            refusal is None or refusal.verdict is Verdict.NOT_RUN,
+            not cut or refusal.verdict is Verdict.NOT_RUN,
             "planned_stop_cuts_off_nothing",
             f"{send.name} was cut off without any fault",
             operation.words,
