--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -9,7 +9,14 @@
 
 from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
 from ebonyglade_lab import demo, deployment, operator, reference
-from ebonyglade_lab.experiments import choosing, idle, memory, placement
+from ebonyglade_lab.experiments import (
+    choosing,
+    idle,
+    memory,
+    once,
+    placement,
+    retries,
+)
 from ebonyglade_lab.fleet import KEY, FleetSize
 from ebonyglade_lab.fuzz import command
 
@@ -41,6 +48,32 @@
         if not good:
             sys.exit(EXIT_FAILURE)
 
+    def once(self, seeds: int = once.SEEDS, record: bool = False) -> None:
+        """Measure how often a repeated booking is executed under faults.
+
+        Args:
+            seeds: runs for each policy.
+            record: write docs/measurements/at-most-once.md.
+        """
+        logging.disable(logging.ERROR)
+        result = once.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("at-most-once")
+
+    def retries(self, seeds: int = retries.SEEDS, record: bool = False) -> None:
+        """Measure what entries send while endpoints fail.
+
+        Args:
+            seeds: runs for each policy and fault.
+            record: write docs/measurements/retries.md.
+        """
+        logging.disable(logging.ERROR)
+        result = retries.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("retries")
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
@@ -22,10 +22,10 @@
 MEMORY_FREE_S = LEASE_S + 2 * TICK_S + 2 * ASK_S + LATE_MESSAGE_S
 
 # Checks whose mechanism has not landed; each is turned on with it.
-CHECK_VERDICT_OVER_ATTEMPTS = False
+CHECK_VERDICT_OVER_ATTEMPTS = True
 # Whether only one direction of a connection may go silent.
 ONE_WAY_SILENCE = False
-CHECK_REPEATS_RUN_ONCE = False
+CHECK_REPEATS_RUN_ONCE = True
 CHECK_RATES = False
 CHECK_POISON = False
 CHECK_STREAMS_OF_WITHDRAWN_KEYS = False
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -268,10 +268,13 @@
             return
         self.counts["calm"] += 1
         refusal = outcome.refusal
-        # A status below 500 tells of the caller's key, ticket or request.
-        cut = refusal is not None and refusal.status >= SERVER_ERROR
+        cut = refusal is not None and refusal.verdict is not Verdict.NOT_RUN
+        # A status below 500 tells of the caller's key, ticket or request, unless
+        # the request was running for the first time.
+        began = operation.executions > send.before and len(operation.sends) == 1
+        cut &= began or (refusal is not None and refusal.status >= SERVER_ERROR)
         self.require(
-            not cut or refusal.verdict is Verdict.NOT_RUN,
+            not cut,
             "planned_stop_cuts_off_nothing",
             f"{send.name} was cut off without any fault",
             operation.words,
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/run.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/run.py
@@ -105,7 +105,9 @@
 
     def published(self) -> None:
         """Note that the platform's newest revision is due everywhere soon."""
-        self.sweeps.published.append((self.now, self.world.platform.revision))
+        revision = self.world.platform.revision
+        self.note(f"revision {revision} is published")
+        self.sweeps.published.append((self.now, revision))
 
     def begin(
         self,
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/sweeps.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/sweeps.py
@@ -53,7 +53,7 @@
                 revision >= before,
                 "configuration_never_reverts",
                 f"{name}: {before} -> {revision}",
-                {name},
+                {name, "published"},
             )
             self._revisions[node.process] = revision
             if checks.CHECK_RESTARTED_REVISION and node.core.config.ready:
@@ -63,7 +63,7 @@
                     revision >= due,
                     "configuration_in_force_in_time",
                     f"{name} has {revision}, due is {due}",
-                    {name},
+                    {name, "published"},
                 )
 
     def _check_restarted(self, name: str, revision: int) -> None:
@@ -73,7 +73,7 @@
             revision >= before,
             "restart_never_reverts",
             f"{name}: {before} -> {revision}",
-            {name},
+            {name, "published"},
         )
         self._newest[name] = revision
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -3,7 +3,7 @@
 import asyncio
 import zlib
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from ebonyglade.ports import (
@@ -203,6 +203,7 @@
         executions: how often each body was executed.
         down: whether it can't be reached.
         answer_lost: whether it executes and then loses the connection.
+        seconds: how long a call takes.
         slow_s: most seconds by which some calls take longer.
         watcher: sees what is executed.
     """
@@ -211,12 +212,13 @@
     executions: Counter = field(default_factory=Counter)
     down: bool = False
     answer_lost: bool = False
+    seconds: float = SERVICE_S
     slow_s: float = 0.0
     watcher: Watcher = field(default_factory=Watcher)
 
     def duration(self, body: bytes) -> float:
         """Return how long a call takes, the same at each execution."""
-        return SERVICE_S + self.slow_s * (zlib.crc32(body) / 2**32)
+        return self.seconds + self.slow_s * (zlib.crc32(body) / 2**32)
 
 
 @dataclass(slots=True)
@@ -227,10 +229,17 @@
     process: Process
 
     async def call(
-        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        may_send: Callable[[], bool],
     ) -> ServiceReply:
         """Execute one call."""
         await self.process.awake()
+        if not may_send():
+            raise EngineError("given up before it was sent", ran=False)
         if self.state.down:
             raise EngineError("connection refused", ran=False, lost=True)
         self.state.executions[body] += 1
--- a/packages/ebonyglade/src/ebonyglade/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -16,6 +16,14 @@
     RAN = "ran"
 
 
+_ORDER = tuple(Verdict)
+
+
+def worst(first: Verdict, second: Verdict) -> Verdict:
+    """Return what holds of a request after two attempts."""
+    return max(first, second, key=_ORDER.index)
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """A typed failure of one request.
@@ -61,7 +69,8 @@
 
 _MAYBE = Verdict.MAY_HAVE_RUN
 
-# One row for each failure that a caller can meet; docs/refusals.md explains them.
+# One row for each failure that a caller can meet, as in
+# docs/operators/refusals.md.
 REFUSALS: dict[str, Refusal] = dict(
     [
         _row("key_missing", 401, "No key came with the request."),
@@ -81,6 +90,7 @@
         _row("no_endpoint", 503, "No endpoint serves this route now.", 2.0),
         _row("endpoint_down", 503, "The endpoint could not be reached.", 1.0),
         _row("endpoint_failed", 502, "The endpoint failed.", None, _MAYBE),
+        _row("resume_unsupported", 502, "The engine can't go on with an answer."),
         _row(
             "agent_lost", 502, "The endpoint's agent stopped answering.", None, _MAYBE
         ),
@@ -89,7 +99,21 @@
         _row("stopping", 503, "This instance is stopping.", 0.0),
         _row("starting", 503, "This instance has no configuration yet.", 1.0),
         _row("quarantined", 422, "This request failed endpoints before."),
-        _row("ticket_required", 428, "This route needs an idempotency ticket."),
+        _row(
+            "ticket_required",
+            428,
+            "Ask for a ticket with POST /tickets/<path> and send it as the key.",
+        ),
+        _row("ticket_invalid", 400, "The ticket was not issued for this request."),
+        _row("ticket_void", 409, "The ticket was closed before anything ran."),
+        _row("outcome_unknown", 409, "The first try's answer is lost.", None, _MAYBE),
+        _row(
+            "answer_forgotten",
+            409,
+            "It ran; the answer is not remembered.",
+            None,
+            Verdict.RAN,
+        ),
         _row("ticket_lost", 409, "The ticket's owner is gone.", None, _MAYBE),
         _row("in_progress", 409, "The same key is still being worked on.", 1.0, _MAYBE),
         _row("key_reused", 422, "The idempotency key came with another request."),
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -40,12 +40,14 @@
     """A slot is expected in `ready_in` seconds; the lease is held for `term`.
 
     It is promised, and the asker starts, once `ready_in` is at most the `lead`
-    that was asked for; until then the reservation waits in the queue.
+    that was asked for; until then the reservation waits in the queue. A `Serve`
+    under this reservation must carry its `grant`.
     """
 
     attempt: str
     ready_in: float
     term: float
+    grant: str = ""
 
 
 class Prefill(Message, frozen=True):
@@ -122,6 +124,7 @@
     within: float
     key: str = ""
     fingerprint: str = ""
+    grant: str = ""
 
 
 class Served(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/worker/started.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/started.py
@@ -1,4 +1,4 @@
-"""Attempts that were started, so that a message that comes twice starts nothing."""
+"""Engine jobs that were started, so that a message that comes twice starts none."""
 
 from collections import deque
 
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ebonyglade.invariants import Invariants
+from ebonyglade.once.desk import TicketDesk
+from ebonyglade.once.grants import Grants, Use
 from ebonyglade.ports import (
     Clock,
     DecodeJob,
@@ -29,6 +33,7 @@
     Prefilled,
     Renew,
     Reserve,
+    Reserved,
     Serve,
     Served,
 )
@@ -37,23 +42,46 @@
 from ebonyglade.worker.memory import EngineMemory
 from ebonyglade.worker.predict import Predictor
 from ebonyglade.worker.prefills import PrefillLine, TurnRefused
+from ebonyglade.worker.serving import Serving
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.started import Started
 
+Work = Coroutine[None, None, None]
+
 FIRST_CREDIT_TOKENS = 256
+# How a request with a grant that can't be used is refused.
+_UNUSABLE = {
+    Use.TOO_LATE: ("endpoint_down", "The slot's lease ran out.", Verdict.NOT_RUN),
+    Use.UNKNOWN: ("agent_lost", "The agent was restarted.", Verdict.MAY_HAVE_RUN),
+}
 MAX_WAITING = 128  # reservations or prefills that wait at one agent
 
 
 @dataclass(slots=True)
 class _Job:
-    """A job at the endpoint."""
+    """A job at the endpoint.
+
+    Attributes:
+        holder: who asked for it.
+        task: runs it.
+        started: whether the endpoint may have seen it.
+        key: idempotency ticket whose execution has not been settled.
+        credit: tokens that may be sent ahead.
+        more: set when the credit grows.
+    """
 
     holder: Sender
     task: asyncio.Task | None = None
     started: bool = False
+    key: str = ""
     credit: int = FIRST_CREDIT_TOKENS
     more: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def kept(self) -> bool:
+        """Whether it goes on without its holder, for repeats of its ticket."""
+        return self.started and bool(self.key)
+
 
 class Worker:
     """Handles the messages of entries and runs jobs at the endpoint."""
@@ -67,12 +95,18 @@
         slots: SlotTable,
         prefill_slots: int = 1,
         invariants: Invariants | None = None,
+        *,
+        desk: TicketDesk,
+        grants: Grants,
+        resumes: bool = True,
     ) -> None:
         self._engine = engine
-        self._service = service
         self._transport = transport
         self._clock = clock
         self._slots = slots
+        self._desk = desk
+        self._grants = grants
+        self._serving = Serving(service, slots, desk, grants, clock)
         self._jobs: dict[str, _Job] = {}
         self._started = Started()
         invariants = invariants or Invariants()
@@ -81,13 +115,14 @@
             slots,
             FairQueue(MAX_WAITING, invariants),
             Predictor(),
-            Outlets(self._send, self._refuse),
+            Outlets(self._promise, self._refuse),
             clock,
         )
         self._prefills = PrefillLine(
             prefill_slots, FairQueue(MAX_WAITING, invariants), clock
         )
         self._draining = False
+        self._resumes = resumes
         self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
             Reserve: self._on_reserve,
             Prefill: self._on_prefill,
@@ -142,8 +177,6 @@
         )
 
     def _on_reserve(self, sender: Sender, message: Reserve) -> None:
-        if message.attempt in self._started:
-            return
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
@@ -160,10 +193,23 @@
         self._start(sender, message.attempt, self._prefill(sender, message))
 
     def _on_decode(self, sender: Sender, message: Decode) -> None:
+        if message.attempt in self._started:
+            return
+        if message.resume and not self._resumes:
+            self._fail(sender, message.attempt, "resume_unsupported")
+            return
         self._claim(sender, message.attempt, self._decode, message)
 
     def _on_serve(self, sender: Sender, message: Serve) -> None:
-        self._claim(sender, message.attempt, self._serve, message)
+        use = self._serving.use(sender, message)
+        if use is Use.REPEATED:
+            return
+        if use is not Use.START:
+            self._fail(sender, message.attempt, *_UNUSABLE[use])
+        elif self._desk.answers(sender, message):
+            self._slots.release(message.attempt)
+        else:
+            self._claim(sender, message.attempt, self._serve, message)
 
     def _on_credit(self, sender: Sender, message: Credit) -> None:
         job = self._jobs.get(message.attempt)
@@ -190,11 +236,11 @@
         self,
         sender: Sender,
         attempt: str,
-        work: Callable[[Sender, Message], Coroutine[None, None, None]],
+        work: Callable[[Sender, Message], Work],
         message: Message,
     ) -> None:
         """Start a job once, in the slot that its lease promises."""
-        if attempt in self._started:
+        if attempt in self._jobs:
             return
 
         def start() -> None:
@@ -203,10 +249,8 @@
         if not self._admission.claim(sender, attempt, start, self._clock()):
             self._fail(sender, attempt, "endpoint_down", "The slot's lease ran out.")
 
-    def _start(
-        self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
-    ) -> None:
-        if attempt in self._started:
+    def _start(self, sender: Sender, attempt: str, work: Work) -> None:
+        if attempt in self._jobs:
             work.close()
             return
         self._started.add(attempt, self._clock())
@@ -215,9 +259,7 @@
         job.task = asyncio.ensure_future(self._run(sender, attempt, work))
         job.task.add_done_callback(lambda task: self._ended(attempt, work))
 
-    async def _run(
-        self, sender: Sender, attempt: str, work: Coroutine[None, None, None]
-    ) -> None:
+    async def _run(self, sender: Sender, attempt: str, work: Work) -> None:
         job = self._jobs[attempt]
         try:
             await work
@@ -291,6 +333,9 @@
         """Pass tokens on as they come and return their number."""
         total = len(work.resume)
         async for token in self._engine.decode(work):
+            if token.index != total:
+                # What follows would not fit what the caller has.
+                raise EngineError("The engine did not go on where it should.")
             chunk = Chunk(work.job, token.index, [token.text])
             self._transport.send(sender.instance, chunk)
             total = token.index + 1
@@ -302,11 +347,8 @@
 
     async def _serve(self, sender: Sender, message: Serve) -> None:
         job = self._jobs[message.attempt]
-        job.started = True
         async with asyncio.timeout(message.within):
-            served = await self._service.call(
-                message.method, message.path, message.headers, message.body
-            )
+            served = await self._serving.call(sender, message, job)
         reply = Served(message.attempt, served.status, served.headers, served.body)
         self._transport.send(sender.instance, reply)
 
@@ -315,14 +357,15 @@
         job = self._jobs.get(attempt)
         if job is None:
             self._release(attempt)
-        elif job.task is not None:
+        elif job.task is not None and not job.kept:
             job.task.cancel()
 
-    def _ended(self, attempt: str, work: Coroutine[None, None, None]) -> None:
+    def _ended(self, attempt: str, work: Work) -> None:
         # A task that is cancelled before its first step never enters its work.
         work.close()
-        self._jobs.pop(attempt, None)
+        job = self._jobs.pop(attempt)
         self._release(attempt)
+        self._desk.fail(job.key, job.started)
 
     def _release(self, attempt: str) -> None:
         """Free an attempt's slot once the engine is rid of its job."""
@@ -349,5 +392,10 @@
         )
         self._send(sender, failed)
 
+    def _promise(self, sender: Sender, reserved: Reserved) -> None:
+        """Tell of a reservation, with the grant that its request must carry."""
+        grant = self._grants.issue(reserved.attempt)
+        self._send(sender, msgspec.structs.replace(reserved, grant=grant))
+
     def _send(self, sender: Sender, message: Message) -> None:
         self._transport.send(sender.instance, message)
