--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/ledger.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/ledger.py
@@ -78,6 +78,7 @@
         executions: starts at endpoints.
         jobs: engine jobs that were started for it.
         places: endpoints that started it.
+        ordered: virtual seconds at which an agent took its last attempt.
     """
 
     text: str
@@ -88,6 +89,7 @@
     executions: int = 0
     jobs: list[str] = field(default_factory=list)
     places: list[str] = field(default_factory=list)
+    ordered: float = 0.0
 
     @property
     def gone(self) -> bool:
@@ -103,10 +105,18 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """All operations by text and by engine job."""
+    """All operations by text and by engine job.
+
+    Attributes:
+        operations: by text.
+        by_job: by engine job.
+        waiting: sends that have not ended.
+        reserved: when the reservation of each attempt reached its agent.
+    """
 
     operations: dict[str, Operation] = field(default_factory=dict)
     by_job: dict[str, Operation] = field(default_factory=dict)
+    reserved: dict[str, float] = field(default_factory=dict)
     waiting: list[tuple[Operation, Send]] = field(default_factory=list)
 
     def add(self, operation: Operation, send: Send) -> None:
