--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -18,6 +18,7 @@
     once,
     placement,
     retries,
+    workload,
 )
 from ebonyglade_lab.fleet import KEY, FleetSize
 from ebonyglade_lab.fuzz import command
@@ -76,6 +77,18 @@
         if record:
             result.record("retries")
 
+    def workload(self, jobs: int = 4) -> None:
+        """Run the workloads of both deployments, and plot them.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        rows = workload.measure_all(jobs)
+        table = workload.table(rows)
+        table.record("workload")
+        workload.plot(rows)
+        print(table.markdown())
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/bench.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/bench.py
@@ -17,6 +17,7 @@
     Speeds,
 )
 from ebonyglade_lab.experiments.loads import MAX_OUTPUT_TOKENS, Arrival
+from ebonyglade_lab.virtual.network import DELAY_S
 from ebonyglade_lab.virtual.process import Process
 from ebonyglade_lab.virtual.world import MODEL_POOL, ZONES, Outcome, World
 
@@ -26,6 +27,7 @@
 SETTLE_S = 1.0
 SAMPLE_S = 0.05
 PIECES = 400
+NO_LIMIT = (1e9, 1e9)  # tokens a second, tokens
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,8 @@
         speeds: of all engines.
         change_entry: changes each entry, to make it a baseline.
         new_queue: queue of each agent.
+        rates: rate and burst by workspace; those not named have no limit.
+        delay_s: one way between instances.
         occupancy: mean share of decode slots in use while measured.
     """
 
@@ -60,6 +64,8 @@
     speeds: Speeds = field(default_factory=Speeds)
     change_entry: Callable[[EntryCore], None] = lambda core: None
     new_queue: type[FairQueue] = FairQueue
+    rates: dict[str, tuple[float, float]] = field(default_factory=dict)
+    delay_s: float = DELAY_S
     fleet: FleetState = field(init=False)
     world: World = field(init=False)
     occupancy: float = 0.0
@@ -69,6 +75,7 @@
         lengths = {arrival.prompt: arrival.length for arrival in arrivals}
         self.fleet = FleetState(self.speeds, lengths, random.Random(self.seed))
         self.world = World(self.seed)
+        self.world.network.delay_s = self.delay_s
         self._publish()
         for index in range(self.size.prefill):
             self._add_engine(f"prefill-{index}", "prefill", index)
@@ -126,7 +133,8 @@
         publish = self.world.platform.publish
         for name, weight in self.workspaces.items():
             path = f"teams/{TEAM}/workspaces/{name}"
-            publish(path, rate=1e9, burst=1e9, weight=weight)
+            rate, burst = self.rates.get(name, NO_LIMIT)
+            publish(path, rate=rate, burst=burst, weight=weight)
         for model, patient in (("abstracts", False), ("notes", True)):
             publish(
                 f"teams/{TEAM}/routes/{model}",
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -39,8 +39,9 @@
 class Network:
     """Delivers frames between processes in order, but for its faults."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, delay_s: float = DELAY_S) -> None:
         self._rng = rng
+        self.delay_s = delay_s
         self._receivers: dict[str, Callable[[bytes], None]] = {}
         self._last: dict[tuple[str, str], float] = {}
         self.faults = Faults()
@@ -79,7 +80,7 @@
 
     def _schedule(self, source: str, target: str, frame: bytes) -> None:
         loop = asyncio.get_running_loop()
-        at = loop.time() + DELAY_S + self._rng.random() * JITTER_S
+        at = loop.time() + self.delay_s + self._rng.random() * JITTER_S
         if self._rng.random() < self.faults.late:
             at += self._rng.random() * self.faults.late_s
         else:
