Write the capacity page from measured slopes

Cause: the two-year size needs a page whose every figure can be made again. Change: a capacity command measures, extrapolates, names the mechanism of each need and says what breaks first; a developers' page holds the size.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -20,6 +20,7 @@
     retries,
     workload,
 )
+from ebonyglade_lab.experiments.capacity import page
 from ebonyglade_lab.fleet import KEY, FleetSize
 from ebonyglade_lab.fuzz import command
 
@@ -89,6 +90,11 @@
         workload.plot(rows)
         print(table.markdown())
 
+    def capacity(self) -> None:
+        """Measure slopes and write docs/CAPACITY.md."""
+        logging.disable(logging.ERROR)
+        print(page.write())
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
