--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -7,9 +7,18 @@
 
 import fire
 
+from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
 from ebonyglade_lab import demo, deployment, operator, reference
-from ebonyglade_lab.experiments import idle
+from ebonyglade_lab.experiments import (
+    choosing,
+    fairness,
+    idle,
+    once,
+    placement,
+    retries,
+)
 from ebonyglade_lab.fleet import KEY, FleetSize
+from ebonyglade_lab.fuzz import command
 
 
 class Commands:
@@ -23,6 +32,43 @@
         if not report.good:
             sys.exit(1)
 
+    def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
+        """Run the decisions under seeded faults and judge them by an oracle."""
+        logging.basicConfig(level=logging.CRITICAL)
+        try:
+            good = command.fuzz(seeds, steps, jobs)
+        except UserError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_USER_ERROR)
+        if not good:
+            sys.exit(EXIT_FAILURE)
+
+    def once(self, seeds: int = once.SEEDS, record: bool = False) -> None:
+        """Measure how often a repeated booking is executed under faults.
+
+        Args:
+            seeds: runs for each policy.
+            record: write docs/measurements/at-most-once.md.
+        """
+        logging.disable(logging.ERROR)
+        result = once.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("at-most-once")
+
+    def retries(self, seeds: int = retries.SEEDS, record: bool = False) -> None:
+        """Measure what entries send while endpoints fail.
+
+        Args:
+            seeds: runs for each policy and fault.
+            record: write docs/measurements/retries.md.
+        """
+        logging.disable(logging.ERROR)
+        result = retries.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("retries")
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
@@ -86,6 +132,35 @@
         table.record("idle")
         print(table.markdown())
 
+    def placement(self, jobs: int = 3) -> None:
+        """Compare ways to place requests, with their goodput and waste.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = placement.table(placement.measure_all(jobs))
+        table.record("placement")
+        print(table.markdown())
+
+    def fairness(self, jobs: int = 3) -> None:
+        """Compare fair queues with FIFO while one workspace floods.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = fairness.table(fairness.measure_all(jobs))
+        table.record("fairness")
+        print(table.markdown())
+
+    def choosing(self) -> None:
+        """Measure herding under lagging reports and what a choice costs."""
+        for name, table in (
+            ("herding", choosing.herding()),
+            ("choice-cost", choosing.cost()),
+        ):
+            table.record(name)
+            print(table.markdown())
+
     def reference(self) -> None:
         """Write docs/settings.md from the models of all settings."""
         reference.write()
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -6,17 +6,23 @@
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.context import Context
 from ebonyglade.events import Event
+from ebonyglade.invariants import Invariants
 from ebonyglade.members.peers import Peers
+from ebonyglade.once.book import TicketBook
+from ebonyglade.once.desk import TicketDesk
+from ebonyglade.once.grants import Grants
 from ebonyglade.ownership.ownership import Ownership
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
 EXPIRE_S = 0.25
 ADMIT_S = 0.05
+FORGET_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +34,14 @@
         pieces: KV pieces that the engine holds.
         prefill_slots: most prefills at once.
         lease_s: seconds for which an entry holds a slot without renewal.
+        resumes: whether the engine goes on from tokens that it is given.
     """
 
     slots: int = 20
     pieces: int = 400
     prefill_slots: int = 1
     lease_s: float = 3.0
+    resumes: bool = True
 
 
 class AgentCore:
@@ -46,6 +54,7 @@
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
         terms: Terms | None = None,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
@@ -53,6 +62,8 @@
         self.ownership = Ownership(
             context, self.config, terms or Terms(), candidate=False
         )
+        book = TicketBook(context.me, context.token_bytes)
+        self.desk = TicketDesk(book, context.transport, context.clock)
         self.worker = Worker(
             engine,
             service,
@@ -61,6 +72,10 @@
             SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
             limits.prefill_slots,
             context.invariants,
+            desk=self.desk,
+            grants=Grants(context.new_id),
+            resumes=limits.resumes,
+            new_queue=new_queue,
         )
         self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
@@ -68,6 +83,8 @@
         context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
         context.every(ADMIT_S, self.worker.admit)
+        context.handle(self.desk.handlers)
+        context.every(FORGET_S, self.desk.tick)
 
     def drain(self, known: Callable[[], list[str]]) -> None:
         """Announce a planned stop and refuse new work."""
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -8,6 +8,11 @@
 from ebonyglade.dispatch.filters import check_size, find_route, identify
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.dispatch.services import ServiceDispatcher
+from ebonyglade.dispatch.tickets import (
+    TicketDispatcher,
+    read_ticket,
+    require_ticket,
+)
 from ebonyglade.events import Event
 from ebonyglade.limits.admission import Admission
 from ebonyglade.limits.owner import RateOwner
@@ -18,8 +23,10 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Sender
+from ebonyglade.retry.retries import Retries
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
+from ebonyglade.wire.once import Recalled, TicketGiven
 from ebonyglade.wire.work import (
     Chunk,
     Done,
@@ -31,7 +38,7 @@
 )
 
 RENEW_S = 0.5
-ANSWERS = (Reserved, Prefilled, Chunk, Done, Served, Failed)
+ANSWERS = (Reserved, Prefilled, Chunk, Done, Served, Failed, TicketGiven, Recalled)
 
 
 class EntryCore:
@@ -48,18 +55,26 @@
         self.placer = Placer(context)
         parts = (self.exchange, self.placer, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
-        self.models = ModelDispatcher(pairs, context.clock)
-        self.services = ServiceDispatcher(*parts, context.new_id)
+        self.retries = Retries(context.clock, context.rng, context.count)
+        self.models = ModelDispatcher(pairs, self.retries, context.clock)
+        self.services = ServiceDispatcher(*parts, context.new_id, self.retries)
+        self.tickets = TicketDispatcher(self.services)
         self.rights = Rights(context, self.ownership)
         self.rate_owner = RateOwner(context, self.ownership)
         self.admission = Admission(self.rights, context.clock, lambda: self.config.view)
-        filters = [identify, find_route, check_size, self.admission]
+        checks = [read_ticket, identify, find_route, check_size, require_ticket]
+        filters = [*checks, self.admission]
         self.run = Chain(filters).around(self._dispatch)
         self._wire()
 
     async def _dispatch(self, call: Call) -> Reply:
-        dispatcher = self.services if call.prompt is None else self.models
-        return await dispatcher.run(call)
+        if call.prompt is not None:
+            return await self.models.run(call)
+        if call.wants_ticket:
+            return await self.tickets.issue(call)
+        if call.ticket is not None:
+            return await self.tickets.run(call)
+        return await self.services.run(call)
 
     def _wire(self) -> None:
         self.peers.revision = lambda: self.config.store.revision
--- a/packages/ebonyglade/src/ebonyglade/wire/codec.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ebonyglade.wire import cache, control, limits, ownership, work
+from ebonyglade.wire import cache, control, limits, once, ownership, work
 from ebonyglade.wire.base import Message
 
 # Each module of messages lists its own; a new module is added here.
@@ -13,6 +13,7 @@
     control,
     work,
     cache,
+    once,
     ownership,
     limits,
 )
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -20,6 +20,7 @@
         lead: seconds that the asker needs from the start of its prefill until
             it uses the slot; zero to hold the slot before anything starts.
         patient: whether the work waits behind what is not patient.
+        places: agents at which the asker waits at the same time.
     """
 
     attempt: str
@@ -32,18 +33,21 @@
     output: int = 0
     lead: float = 0.0
     patient: bool = False
+    places: int = 1
 
 
 class Reserved(Message, frozen=True):
     """A slot is expected in `ready_in` seconds; the lease is held for `term`.
 
     It is promised, and the asker starts, once `ready_in` is at most the `lead`
-    that was asked for; until then the reservation waits in the queue.
+    that was asked for; until then the reservation waits in the queue. A `Serve`
+    under this reservation must carry its `grant`.
     """
 
     attempt: str
     ready_in: float
     term: float
+    grant: str = ""
 
 
 class Prefill(Message, frozen=True):
@@ -120,6 +124,7 @@
     within: float
     key: str = ""
     fingerprint: str = ""
+    grant: str = ""
 
 
 class Served(Message, frozen=True):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -27,6 +27,13 @@
     return [group for group in GROUPS if holders(world, group)]
 
 
+def want_all(world, names):
+    """Let entries try for all groups as if requests were waiting there."""
+    for name in names:
+        for group in GROUPS:
+            world.nodes[name].core.ownership.want(group)
+
+
 async def settled(world):
     await asyncio.sleep(SETTLED_S)
     assert owned(world) == list(GROUPS)
@@ -235,6 +242,7 @@
     for index, name in enumerate(sorted(new)):
         world.add_entry(name, f"zone-{index % 3}")
     cut(world, old, new)
+    want_all(world, new)
     await asyncio.sleep(TERMS.removal_s)
     for name in old:
         world.kill(name)
@@ -276,6 +284,7 @@
         for name in voters:
             world.kill(name)
             world.start(name)
+        want_all(world, {second})
         await asyncio.sleep(TERMS.lease_s)
         return oracle.clashes
 
