Measure wrongful refusals against a split and an owner without lease

The placement bench takes the lease times of its world, so that its entries do not wait for the times of real fleets.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -13,6 +13,7 @@
     choosing,
     fairness,
     idle,
+    limits,
     once,
     placement,
     retries,
@@ -43,6 +44,19 @@
         if not good:
             sys.exit(EXIT_FAILURE)
 
+    def limits(self, seeds: int = limits.SEEDS, record: bool = False) -> None:
+        """Measure wrongful refusals and the bound of workspaces' rates.
+
+        Args:
+            seeds: runs for each policy and scene.
+            record: write docs/measurements/rates.md.
+        """
+        logging.disable(logging.ERROR)
+        result = limits.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("rates")
+
     def once(self, seeds: int = once.SEEDS, record: bool = False) -> None:
         """Measure how often a repeated booking is executed under faults.
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/bench.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/bench.py
@@ -145,7 +145,13 @@
 
         def make(context: Context, process: Process) -> AgentCore:
             engine = BenchEngine(name, self.fleet, process)
-            core = AgentCore(context, limits, engine, new_queue=self.new_queue)
+            core = AgentCore(
+                context,
+                limits,
+                engine,
+                terms=self.world.terms,
+                new_queue=self.new_queue,
+            )
             engine.listener = core.reports.cache_event
             return core
 
@@ -156,7 +162,7 @@
 
     def _add_entry(self, name: str, index: int) -> None:
         def make(context: Context, process: Process) -> EntryCore:
-            core = EntryCore(context)
+            core = EntryCore(context, self.world.terms)
             self.change_entry(core)
             return core
 
