--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -11,6 +11,7 @@
 from ebonyglade_lab import demo, deployment, operator, reference
 from ebonyglade_lab.experiments import (
     choosing,
+    configuration,
     fairness,
     idle,
     limits,
@@ -175,6 +176,15 @@
             table.record(name)
             print(table.markdown())
 
+    def configuration(self) -> None:
+        """Measure how a change spreads and what it costs, by size of fleet."""
+        for name, table in (
+            ("configuration-spread", configuration.spread_table()),
+            ("configuration-cost", configuration.cost_table()),
+        ):
+            table.record(name)
+            print(table.markdown())
+
     def reference(self) -> None:
         """Write docs/settings.md from the models of all settings."""
         reference.write()
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/rules.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/rules.py
@@ -163,7 +163,7 @@
 async def _stop(run: Run, name: str) -> None:
     node = run.world.nodes[name]
     if name in run.agents:
-        node.core.drain(lambda: run.entries)
+        node.core.drain()
     await asyncio.sleep(LEAVE_S)
     limit = run.now + LONGEST_STOP_S
     while run.now < limit and _unfinished(run, name):
--- a/tests/helpers/rates.py
+++ b/tests/helpers/rates.py
@@ -51,10 +51,15 @@
 
 
 def rate_world(
-    seed: int = 1, entries: int = 4, agents: int = 5, workspaces: int = 1, strict=True
+    seed: int = 1,
+    entries: int = 4,
+    agents: int = 5,
+    workspaces: int = 1,
+    strict=True,
+    terms: Terms = TERMS,
 ) -> World:
     """Return a world whose workspaces have `RATE` and `BURST`."""
-    world = World(seed, strict, TERMS)
+    world = World(seed, strict, terms)
     names = ["physics", *(f"w{n}" for n in range(1, workspaces))]
     world.publish_team("aula", names, RATE, BURST)
     for index in range(agents):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,11 +3,13 @@
 
 import pytest
 
+from ebonyglade.events import Event
 from ebonyglade.limits import links
 from ebonyglade.limits.bucket import Bucket
 from ebonyglade.limits.owner import RateOwner
 from ebonyglade.limits.wallet import Wallet
 from ebonyglade.ownership.ownership import Ownership
+from ebonyglade.ownership.terms import Terms
 from ebonyglade.ownership.votes import Lease
 from ebonyglade_lab.virtual.loop import run
 from helpers.leases import cut, heal, violations
@@ -26,6 +28,7 @@
 )
 
 TOLERANCE = 0.5  # tokens
+LONG_TERMS = Terms(lease_s=3.0, removal_s=1.0, seal_s=1.0, groups=4)
 
 
 def others(world, name):
@@ -248,6 +251,59 @@
     within(spent, world)
 
 
+async def planned_stop(world, spent):
+    """The owner drains while a lonely entry has most of the burst in hand."""
+    await asyncio.sleep(2 * LONG_TERMS.lease_s)
+    await ready(world)
+    owner = owner_of(world)
+    lonely, *rest = others(world, owner)
+    held = [admit(world, lonely, spent, 100, hold=0.1, used=0) for _ in range(18)]
+    await asyncio.gather(*held)
+    spent.times.clear()
+    spent.tokens.clear()
+    cut(world, {lonely}, set(world.nodes) - {lonely})
+    world.nodes[owner].context.events.send(Event.DRAINING)
+    for name in rest:
+        ownership = world.nodes[name].core.ownership
+        ownership.want(ownership.group_of(WORKSPACE))
+    await asyncio.sleep(1.5)
+    for name in (lonely, *rest):
+        for _ in range(60):
+            admit(world, name, spent, 30, deadline=0.3)
+    await asyncio.sleep(1)
+    heal(world)
+    await asyncio.sleep(2 * LONG_TERMS.lease_s)
+    return owner
+
+
+def test_a_planned_stop_hands_over_without_exceeding(hoarding):
+    async def scenario():
+        world, spent = rate_world(terms=LONG_TERMS), Spent()
+        owner = await planned_stop(world, spent)
+        return world, spent, owner, owner_of(world)
+
+    world, spent, before, after = run(scenario())
+    assert after not in (None, before)
+    assert spent.total > 0.5 * BURST
+    within(spent, world)
+
+
+def test_mutation_a_stop_that_releases_lent_rights_exceeds(hoarding, monkeypatch):
+    def release_all(self):
+        self._draining = True
+        for group in list(self._votes):
+            self.release(group)
+
+    monkeypatch.setattr(Ownership, "_drain", release_all)
+
+    async def scenario():
+        world, spent = rate_world(terms=LONG_TERMS), Spent()
+        await planned_stop(world, spent)
+        return spent
+
+    assert run(scenario()).excess() > TOLERANCE
+
+
 def test_a_platform_silent_for_minutes_changes_nothing():
     async def scenario():
         world, spent = rate_world(), Spent()
