--- a/tests/helpers/rates.py
+++ b/tests/helpers/rates.py
@@ -8,12 +8,14 @@
 
 from ebonyglade.ownership.terms import Terms
 from ebonyglade_lab.virtual.world import ZONES, World
+from helpers.leases import violations
 
 TERMS = Terms(lease_s=1.0, removal_s=1.0, seal_s=1.0, groups=4)
 READY_S = 5.0
 WORKSPACE = "aula/physics"
 RATE = 1000.0
 BURST = 2000.0
+TOLERANCE = 0.5  # tokens
 
 
 @dataclass
@@ -159,3 +161,17 @@
         if not node.process.dead and ownership.holds(group, world.now()):
             return name
     return None
+
+
+def others(world, name):
+    return [key for key in world.nodes if key.startswith("entry") and key != name]
+
+
+async def ready(world, full=True):
+    await asyncio.sleep(READY_S + (BURST / RATE if full else 0.0))
+    assert owner_of(world)
+
+
+def within(spent, world):
+    assert spent.excess() <= TOLERANCE
+    assert not violations(world)
