--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -11,6 +11,7 @@
 from ebonyglade_lab import demo, deployment, operator, reference
 from ebonyglade_lab.experiments import (
     choosing,
+    fairness,
     idle,
     memory,
     once,
@@ -147,6 +148,16 @@
         table.record("placement")
         print(table.markdown())
 
+    def fairness(self, jobs: int = 3) -> None:
+        """Compare fair queues with FIFO while one workspace floods.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = fairness.table(fairness.measure_all(jobs))
+        table.record("fairness")
+        print(table.markdown())
+
     def choosing(self) -> None:
         """Measure herding under lagging reports and what a choice costs."""
         for name, table in (
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
@@ -26,7 +26,7 @@
 # Whether only one direction of a connection may go silent.
 ONE_WAY_SILENCE = False
 CHECK_REPEATS_RUN_ONCE = True
-CHECK_RATES = False
+CHECK_RATES = True
 CHECK_POISON = False
 CHECK_STREAMS_OF_WITHDRAWN_KEYS = False
 CHECK_RESTARTED_REVISION = False
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -307,14 +307,17 @@
             return
         answer = reply.ok_value
         if isinstance(answer, WholeAnswer):
+            self.watcher.spent(call.workspace, call.route.route.cost)
             outcome.status, outcome.body, outcome.whole = (
                 answer.status,
                 answer.body,
                 True,
             )
             return
+        self.watcher.spent(call.workspace, call.prompt.tokens)
         try:
             async for tokens in answer.tokens:
+                self.watcher.spent(call.workspace, len(tokens))
                 outcome.first = outcome.first or self.now()
                 outcome.tokens.extend(tokens)
         except StreamFailed as failed:
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -99,6 +99,7 @@
         desk: TicketDesk,
         grants: Grants,
         resumes: bool = True,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self._engine = engine
         self._transport = transport
@@ -113,13 +114,13 @@
         self._memory = EngineMemory(engine, clock, slots.term, invariants)
         self._admission = Admission(
             slots,
-            FairQueue(MAX_WAITING, invariants),
+            new_queue(MAX_WAITING, invariants),
             Predictor(),
             Outlets(self._promise, self._refuse),
             clock,
         )
         self._prefills = PrefillLine(
-            prefill_slots, FairQueue(MAX_WAITING, invariants), clock
+            prefill_slots, new_queue(MAX_WAITING, invariants), clock
         )
         self._draining = False
         self._resumes = resumes
