--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -231,6 +231,8 @@
         self.require(
             good, "whole_and_own_answer", f"answer of {send.name}", operation.words
         )
+        if checks.CHECK_STREAMS_OF_WITHDRAWN_KEYS and outcome.whole:
+            self._check_stream(operation, send)
         over = outcome.ended - max(send.deadline, self.woken.get(send.entry, 0.0))
         self.require(
             over <= checks.LATE_ANSWER_S or not self._present(send),
@@ -245,6 +247,17 @@
             operation.words,
         )
 
+    def _check_stream(self, operation: Operation, send: Send) -> None:
+        ended, withdrawn = send.sent.outcome.ended, send.key.withdrawn
+        self.require(
+            withdrawn is None
+            or ended < withdrawn + checks.KEY_STOPS_S
+            or self.calm.seconds(send.entry, ended) < checks.KEY_STOPS_S,
+            "withdrawn_key_stops_working",
+            f"{send.name} went on to its end",
+            operation.words,
+        )
+
     def _present(self, send: Send) -> bool:
         """Return whether the caller got an answer or a refusal."""
         outcome = send.sent.outcome
@@ -282,6 +295,9 @@
         length = outcome.ended - outcome.started
         if send.cancelled or quiet < length + checks.SETTLED_S:
             return
+        if send.key.withdrawn is not None:
+            # The withdrawal ends what runs under the key.
+            return
         if POISON in operation.text:
             return
         self.counts["calm"] += 1
