--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -302,6 +302,15 @@
             return
         self.counts["calm"] += 1
         refusal = outcome.refusal
+        if refusal is not None and refusal.code == "key_withdrawn":
+            # An operator's withdrawal ends what runs under the key.
+            self.require(
+                send.key.withdrawn is not None,
+                "withdrawal_is_true",
+                f"{send.name} was refused for a key that is valid",
+                operation.words,
+            )
+            return
         cut = refusal is not None and refusal.verdict is not Verdict.NOT_RUN
         # A status below 500 tells of the caller's key, ticket or request, unless
         # the request was running for the first time.
