--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/rows.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/rows.py
@@ -143,7 +143,8 @@
     yield Row(
         "entry",
         "bytes of load reports",
-        f"{reported:.0f} agents asked in {FORGET_S:.0f} s, a report each {REPORT_S:g} s",
+        f"{reported:.0f} agents asked in {FORGET_S:.0f} s, "
+        f"a report each {REPORT_S:g} s",
         reported * load / REPORT_S,
         target.BYTES_BUDGET,
         "B/s",
