--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -9,6 +9,7 @@
 from ebonyglade_lab.fuzz import checks
 from ebonyglade_lab.fuzz.calm import Calm
 from ebonyglade_lab.fuzz.ledger import BOOKING, MODEL, Ledger, Operation, Send
+from ebonyglade_lab.fuzz.spending import Spending
 from ebonyglade_lab.fuzz.trace import Trace
 from ebonyglade_lab.fuzz.violation import Violation
 from ebonyglade_lab.standins.answers import answer_tokens
@@ -26,6 +27,7 @@
         ledger: what callers sent.
         calm: how long instances have been without faults.
         trace: what happened.
+        spending: tokens that workspaces got.
         leaving: since when each leaving endpoint is listed so.
         woken: when each paused instance last went on.
         verbose: whether messages are traced.
@@ -33,7 +35,8 @@
         counts: outcomes by kind, so that a run that tests nothing shows.
     """
 
-    def __init__(self, trace: Trace, calm: Calm) -> None:
+    def __init__(self, trace: Trace, calm: Calm, spending: Spending) -> None:
+        self.spending = spending
         self.world: World | None = None
         self.ledger = Ledger()
         self.calm = calm
@@ -91,6 +94,16 @@
         if operation.kind == BOOKING:
             self._check_once(operation)
 
+    def spent(self, workspace: str, tokens: float) -> None:
+        """Judge tokens that a caller got against its workspace's rate."""
+        over = self.spending.add(workspace, tokens, self.world.now())
+        self.require(
+            over <= 0 or not checks.CHECK_RATES,
+            "never_above_rate_and_burst",
+            f"{workspace} got {over:.1f} tokens too many",
+            set(),
+        )
+
     def heard(self, instance: str, sender: Sender, message: Message) -> None:
         """Judge an order that reaches an agent."""
         if self.verbose:
@@ -218,6 +231,8 @@
         self.require(
             good, "whole_and_own_answer", f"answer of {send.name}", operation.words
         )
+        if checks.CHECK_STREAMS_OF_WITHDRAWN_KEYS and outcome.whole:
+            self._check_stream(operation, send)
         over = outcome.ended - max(send.deadline, self.woken.get(send.entry, 0.0))
         self.require(
             over <= checks.LATE_ANSWER_S or not self._present(send),
@@ -232,6 +247,17 @@
             operation.words,
         )
 
+    def _check_stream(self, operation: Operation, send: Send) -> None:
+        ended, withdrawn = send.sent.outcome.ended, send.key.withdrawn
+        self.require(
+            withdrawn is None
+            or ended < withdrawn + checks.KEY_STOPS_S
+            or self.calm.seconds(send.entry, ended) < checks.KEY_STOPS_S,
+            "withdrawn_key_stops_working",
+            f"{send.name} went on to its end",
+            operation.words,
+        )
+
     def _present(self, send: Send) -> bool:
         """Return whether the caller got an answer or a refusal."""
         outcome = send.sent.outcome
@@ -269,6 +295,9 @@
         length = outcome.ended - outcome.started
         if send.cancelled or quiet < length + checks.SETTLED_S:
             return
+        if send.key.withdrawn is not None:
+            # The withdrawal ends what runs under the key.
+            return
         if POISON in operation.text:
             return
         self.counts["calm"] += 1
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -36,6 +36,9 @@
     def heard(self, instance: str, sender: Sender, message: Message) -> None:
         """Note a message before its receiver handles it."""
 
+    def spent(self, workspace: str, tokens: float) -> None:
+        """Note tokens that a caller of a workspace got."""
+
     def violated(self, instance: str, name: str) -> None:
         """Note an invariant that failed inside a process."""
 
--- a/packages/ebonyglade/src/ebonyglade/dispatch/tickets.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/tickets.py
@@ -1,12 +1,14 @@
 """Calls that may not be repeated: tickets, and repeats sent to their owner."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 from result import Err, Ok
 
 from ebonyglade.calls import Call, Proceed, Reply, WholeAnswer
+from ebonyglade.config.view import View
 from ebonyglade.dispatch.exchange import Attempt
 from ebonyglade.dispatch.services import ServiceDispatcher
 from ebonyglade.dispatch.waiting import wait_for
@@ -91,9 +93,15 @@
 
 @dataclass(slots=True)
 class TicketDispatcher:
-    """Issues tickets and sends each ticket's calls to its owner alone."""
+    """Issues tickets and sends each ticket's calls to its owner alone.
+
+    Attributes:
+        services: sends the calls.
+        view: returns the configuration in force.
+    """
 
     services: ServiceDispatcher
+    view: Callable[[], View]
 
     async def issue(self, call: Call) -> Reply:
         """Return a new ticket from some agent of the call's route."""
@@ -138,9 +146,16 @@
             return Ok(_whole(answer.ok_value))
         if not isinstance(answer.ok_value, Recalled):
             return Err(refuse("internal", message="Unexpected answer."))
+        if self._leaves(call.ticket.agent):
+            return Err(refuse("no_endpoint"))
         # A lost answer is asked for again; the job at the owner goes on.
         return await self.services.attempt(call, call.ticket.agent, RECHECK_S)
 
+    def _leaves(self, agent: str) -> bool:
+        """Return whether an owner takes nothing new; its ticket is closed then."""
+        listed = self.view().instances.get(agent)
+        return listed is not None and listed.state != "live"
+
     def _left(self, call: Call) -> float:
         return call.deadline - self.services.clock()
 
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -67,7 +67,7 @@
         self.retries = Retries(context.clock, context.rng, context.count)
         self.models = ModelDispatcher(pairs, self.retries, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id, self.retries)
-        self.tickets = TicketDispatcher(self.services)
+        self.tickets = TicketDispatcher(self.services, lambda: self.config.view)
         self.rights = Rights(context, self.ownership)
         self.rate_owner = RateOwner(context, self.ownership)
         self.admission = Admission(self.rights, context.clock, lambda: self.config.view)
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -5,7 +5,10 @@
 
 from ebonyglade.worker.fair import FairQueue, Waiting
 from ebonyglade.worker.prefills import PrefillLine
+from ebonyglade_lab.fuzz import checks
 from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.world import SERVICE_POOL, ZONES
+from helpers.bookings import book, executions, owner, ticket, told
 from helpers.worlds import KEY, small_world
 
 
@@ -52,3 +55,19 @@
     executions = sum(run(scenario()), start=Counter())
     assert len(executions) > 30
     assert set(executions.values()) == {1}
+
+
+def test_a_ticket_of_a_leaving_endpoint_is_closed_unused():
+    async def scenario():
+        world = small_world()
+        await asyncio.sleep(1)
+        held = await ticket(world)
+        agent = owner(world, held)
+        world.list_instance(
+            agent, "agent", ZONES[0], SERVICE_POOL, "service", "leaving"
+        )
+        await asyncio.sleep(checks.LEAVING_S)
+        outcome = await book(world, "entry-1", b"room 1", held)
+        return told(outcome), executions(world, b"room 1")
+
+    assert run(scenario()) == (("ticket_void", "not_run"), 0)
--- a/tests/test_fuzz_mutations.py
+++ b/tests/test_fuzz_mutations.py
@@ -12,6 +12,7 @@
 from ebonyglade.dispatch import attempts, filters
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.entry import EntryCore
+from ebonyglade.limits.admission import Admission
 from ebonyglade.retry import table
 from ebonyglade.verdict import Verdict
 from ebonyglade.worker.memory import EngineMemory
@@ -134,11 +135,19 @@
     patch.setitem(LOAD, "planned_stop", Rule(2.0, LOAD["planned_stop"].apply))
 
 
+def _ignore_rates(patch):
+    async def admit(self, call, proceed):
+        return await proceed(call)
+
+    patch.setattr(Admission, "__call__", admit)
+
+
 def _leave_memory_behind(patch):
     patch.setattr(EngineMemory, "tick", lambda *args: None)
 
 
 MUTATIONS = {
+    "ignores rates": (_ignore_rates, "never_above_rate_and_burst"),
     "leaves memory behind": (_leave_memory_behind, "memory_of_gone_requests_is_free"),
     "repeats tokens": (_repeat_tokens, "whole_and_own_answer"),
     "believes any end": (_believe_any_end, "whole_and_own_answer"),
