--- a/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from ebonyglade.calls import Call, Proceed, StreamFailed, TokenStream
+from ebonyglade.dispatch.tickets import cautious
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade_entry import completions, headers, paths, responses
 from ebonyglade_entry.completions import SHAPES, Asked, Writer
@@ -108,12 +109,13 @@
     async def _answer(
         self, request: web.Request, request_id: str, started: float
     ) -> web.StreamResponse:
+        key = request.headers.get("Idempotency-Key", "")
         refusal = self._at_the_door(request)
         if refusal is not None:
-            return self._refuse(refusal, request_id)
+            return self._refuse(cautious(refusal, key), request_id)
         body = await self._body(request)
         if isinstance(body, Err):
-            return self._refuse(body.err_value, request_id)
+            return self._refuse(cautious(body.err_value, key), request_id)
         call = self._call(request, request_id, started, body.ok_value)
         shape = SHAPES.get(request.path) if request.method == "POST" else None
         if shape is None:
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from ebonyglade.ports import (
@@ -198,6 +198,7 @@
         executions: how often each body was executed.
         down: whether it can't be reached.
         answer_lost: whether it executes and then loses the connection.
+        seconds: how long a call takes.
         watcher: sees what is executed.
     """
 
@@ -205,6 +206,7 @@
     executions: Counter = field(default_factory=Counter)
     down: bool = False
     answer_lost: bool = False
+    seconds: float = SERVICE_S
     watcher: Watcher = field(default_factory=Watcher)
 
 
@@ -216,15 +218,22 @@
     process: Process
 
     async def call(
-        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        may_send: Callable[[], bool],
     ) -> ServiceReply:
         """Execute one call."""
         await self.process.awake()
+        if not may_send():
+            raise EngineError("given up before it was sent", ran=False)
         if self.state.down:
             raise EngineError("connection refused", ran=False, lost=True)
         self.state.executions[body] += 1
         self.state.watcher.executed(self.state.name, headers, body)
-        await asyncio.sleep(SERVICE_S)
+        await asyncio.sleep(self.state.seconds)
         if self.state.answer_lost:
             raise EngineError("connection lost", ran=True, lost=True)
         await self.process.awake()
--- a/packages/ebonyglade/src/ebonyglade/context.py
+++ b/packages/ebonyglade/src/ebonyglade/context.py
@@ -45,6 +45,7 @@
         clock: monotonic seconds; runs on during a pause.
         wall: seconds of the wall clock, for logs and audit only.
         rng: source of randomness.
+        token_bytes: returns unpredictable bytes for secrets.
         count: adds to a named counter.
         timers: calls subscribers at their intervals.
         events: named events that parts hook into.
@@ -58,6 +59,7 @@
     clock: Clock
     wall: Clock
     rng: random.Random
+    token_bytes: Callable[[int], bytes] | None = None
     count: Callable[..., None] = _ignore
     timers: TimerService = field(default_factory=TimerService)
     events: Events = field(default_factory=Events)
@@ -68,6 +70,8 @@
     def __post_init__(self) -> None:
         self.pauses = PauseGuard(self.clock, self.events)
         self.transport = GuardedTransport(self.transport, self.pauses)
+        if self.token_bytes is None:
+            self.token_bytes = self.rng.randbytes
 
     def handle(self, handlers: dict[type[Message], Handler]) -> None:
         """Add handlers by message type."""
--- a/packages/ebonyglade/src/ebonyglade/pause.py
+++ b/packages/ebonyglade/src/ebonyglade/pause.py
@@ -119,11 +119,20 @@
         self._check = check
 
     async def call(
-        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        may_send: Callable[[], bool],
     ) -> ServiceReply:
-        """Make one HTTP call."""
+        """Make one HTTP call; a pause also counts until right before it is sent."""
+
+        def may_still_send() -> bool:
+            return not self._check() and may_send()
+
         refuse_stale(self._check)
-        return await self._inner.call(method, path, headers, body)
+        return await self._inner.call(method, path, headers, body, may_still_send)
 
 
 def refuse_stale(check: Callable[[], bool]) -> None:
--- a/tests/helpers/fleets_virtual.py
+++ b/tests/helpers/fleets_virtual.py
@@ -1,5 +1,6 @@
 """Larger virtual worlds for configuration and membership."""
 
+from ebonyglade.wire.work import Reserved, Serve, Served
 from ebonyglade_lab.virtual.world import World
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -29,3 +30,20 @@
         for name, node in world.nodes.items()
         if not node.process.dead and node.core.config.view.revision < revision
     )
+
+
+def noted_answers(entry):
+    """Note the answers to reservations and calls in place of handling them."""
+    answers = []
+
+    def note(sender, message):
+        answers.append(message)
+
+    entry.context.handle({Reserved: note, Served: note})
+    return answers
+
+
+def serve(attempt, answers):
+    """Return a call under the reservation that was answered first."""
+    grant = answers[0].grant
+    return Serve(attempt, "w", "POST", "/", [], b"x", 9.0, grant=grant)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -6,12 +6,13 @@
 from ebonyglade.agent import AgentCore
 from ebonyglade.config.relay import Relay
 from ebonyglade.config.view import digest
-from ebonyglade.wire.work import Reserve, Reserved, Serve, Served
+from ebonyglade.wire.work import Reserve, Reserved, Served
 from ebonyglade_lab import demo
 from ebonyglade_lab.fleet import KEY as FLEET_KEY, publish
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_node.commands import drain_until
 from helpers.fleets import small_fleet
+from helpers.fleets_virtual import noted_answers, serve
 from helpers.worlds import KEY, small_world
 
 DRAIN_S = 2.0
@@ -77,14 +78,12 @@
         world = small_world(entries=1, pairs=1)
         await asyncio.sleep(2)
         entry, agent = world.nodes["entry-0"], world.nodes["rooms-0"]
-        answers = []
-        note = lambda sender, message: answers.append(message)  # noqa: E731
-        entry.context.handle({Reserved: note, Served: note})
+        answers = noted_answers(entry)
         entry.context.send("rooms-0", Reserve("a1", "w", 0, 1.0))
         await asyncio.sleep(0.1)
         agent.core.drain()
         busy = agent.core.worker.busy
-        entry.context.send("rooms-0", Serve("a1", "w", "POST", "/", [], b"x", 9.0))
+        entry.context.send("rooms-0", serve("a1", answers))
         await asyncio.sleep(0.5)
         return busy, [type(answer) for answer in answers], agent.core.worker.busy
 
