Halve the followers of a relay node and turn the fuzzer's checks on

Cause: eight children in the relay gave the busiest of 330 nodes 2,965 B/s of heartbeats. Change: four.

The fuzzer now also sends one direction of a connection silent, checks that a restarted instance does not go back, and that answers under a withdrawn key end.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
@@ -16,11 +16,11 @@
 # Checks whose mechanism has not landed; each is turned on with it.
 CHECK_VERDICT_OVER_ATTEMPTS = False
 # Whether only one direction of a connection may go silent.
-ONE_WAY_SILENCE = False
+ONE_WAY_SILENCE = True
 CHECK_MEMORY_LEASES = False
 CHECK_REPEATS_RUN_ONCE = False
 CHECK_RATES = False
 CHECK_POISON = False
-CHECK_STREAMS_OF_WITHDRAWN_KEYS = False
-CHECK_RESTARTED_REVISION = False
+CHECK_STREAMS_OF_WITHDRAWN_KEYS = True
+CHECK_RESTARTED_REVISION = True
 CHECK_RELAYED_CONFIGURATION = False
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -168,6 +168,20 @@
             return True
         return self.calm.seconds(send.entry, now) < checks.KEY_STOPS_S
 
+    def _check_withdrawn_answer(self, operation: Operation, send: Send) -> None:
+        """An answer under way ends soon after its key was withdrawn."""
+        withdrawn, outcome = send.key.withdrawn, send.sent.outcome
+        if withdrawn is None or not checks.CHECK_STREAMS_OF_WITHDRAWN_KEYS:
+            return
+        calm = self.calm.seconds(send.entry, outcome.ended) >= checks.KEY_STOPS_S
+        late = outcome.ended > withdrawn + checks.KEY_STOPS_S
+        self.require(
+            not (calm and late and outcome.whole),
+            "withdrawn_key_stops_working",
+            f"{send.name} was answered {outcome.ended - withdrawn:.2f} s after",
+            operation.words,
+        )
+
     def _check_once(self, operation: Operation) -> None:
         repeated = len(operation.sends) > 1
         if repeated and not checks.CHECK_REPEATS_RUN_ONCE:
@@ -190,6 +204,7 @@
         self._check_answer(operation, send)
         self._check_refusal(operation, send)
         self._check_calm(operation, send)
+        self._check_withdrawn_answer(operation, send)
 
     def _kind(self, send: Send) -> str:
         outcome = send.sent.outcome
@@ -266,6 +281,10 @@
             return
         self.counts["calm"] += 1
         refusal = outcome.refusal
+        # Only the withdrawal of its own key may end a request in mid-run.
+        withdrawn = send.key.withdrawn is not None
+        if withdrawn and refusal is not None and refusal.code == "key_withdrawn":
+            return
         self.require(
             refusal is None or refusal.verdict is Verdict.NOT_RUN,
             "planned_stop_cuts_off_nothing",
--- a/packages/ebonyglade/src/ebonyglade/members/topology.py
+++ b/packages/ebonyglade/src/ebonyglade/members/topology.py
@@ -17,7 +17,7 @@
 from ebonyglade.config.published import Instance
 
 READERS = 3  # in each availability zone
-FANOUT = 8  # instances that have the same first parent
+FANOUT = 4  # instances that have the same first parent
 
 Orders = Mapping[str, list[str]]
 
--- a/tests/test_fuzz_mutations.py
+++ b/tests/test_fuzz_mutations.py
@@ -10,12 +10,14 @@
 from ebonyglade.config.store import ConfigStore
 from ebonyglade.config.view import Owner, View
 from ebonyglade.dispatch import attempts, filters
+from ebonyglade.dispatch.keys import KeyGuard
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.entry import EntryCore
 from ebonyglade.retry import table
 from ebonyglade.verdict import Verdict
 from ebonyglade.worker.worker import Worker
 from ebonyglade_lab.fuzz.driver import run_seed
+from ebonyglade_lab.virtual import endpoints
 from ebonyglade_lab.virtual.endpoints import VirtualService
 from ebonyglade_lab.virtual.watcher import LOOK_S, VirtualWatcher
 
@@ -129,6 +131,15 @@
     patch.setattr(VirtualService, "call", call)
 
 
+def _finish_streams_of_withdrawn_keys(patch):
+    async def passes(self, call, proceed):
+        return await proceed(call)
+
+    patch.setattr(KeyGuard, "guard", passes)
+    # Answers last longer than a withdrawn key may.
+    patch.setattr(endpoints, "TOKEN_S", 0.4)
+
+
 MUTATIONS = {
     "repeats tokens": (_repeat_tokens, "whole_and_own_answer"),
     "believes any end": (_believe_any_end, "whole_and_own_answer"),
@@ -143,6 +154,10 @@
     ),
     "serves as another": (_serve_as_another, "runs_only_for_its_workspace"),
     "passes the key on": (_pass_the_key_on, "no_endpoint_sees_the_key"),
+    "finishes streams": (
+        _finish_streams_of_withdrawn_keys,
+        "withdrawn_key_stops_working",
+    ),
     "stops under load": (_stop_under_load, "planned_stop_cuts_off_nothing"),
 }
 
