--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -17,6 +17,9 @@
     require_ticket,
 )
 from ebonyglade.events import Event
+from ebonyglade.limits.admission import Admission
+from ebonyglade.limits.owner import RateOwner
+from ebonyglade.limits.rights import Rights
 from ebonyglade.members.avoid import Avoidance
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
@@ -65,9 +68,20 @@
         self.models = ModelDispatcher(pairs, self.retries, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id, self.retries)
         self.tickets = TicketDispatcher(self.services)
-        known = [self.freshness.hold, self.keys.guard]
-        filters = [read_ticket, identify, find_route, check_size, require_ticket]
-        self.run = Chain([*known, *filters]).around(self._dispatch)
+        self.rights = Rights(context, self.ownership)
+        self.rate_owner = RateOwner(context, self.ownership)
+        self.admission = Admission(self.rights, context.clock, lambda: self.config.view)
+        filters = [
+            self.freshness.hold,
+            self.keys.guard,
+            read_ticket,
+            identify,
+            find_route,
+            check_size,
+            require_ticket,
+            self.admission,
+        ]
+        self.run = Chain(filters).around(self._dispatch)
         self._wire()
 
     async def _dispatch(self, call: Call) -> Reply:
