--- a/packages/ebonyglade/src/ebonyglade/ownership/ownership.py
+++ b/packages/ebonyglade/src/ebonyglade/ownership/ownership.py
@@ -119,7 +119,7 @@
         self._wanted[group] = now + WANTED_S
 
     def release(self, group: int) -> None:
-        """Give a group up at once."""
+        """Give a group up at once, with nothing lent under its lease in force."""
         votes = self._votes.get(group)
         if votes is None:
             return
@@ -137,12 +137,14 @@
             self._check(votes, now)
         if not self._candidate or not self.members.settled(now):
             return
+        if self._draining:
+            # What was lent under the leases ends with them and not before.
+            return
         if now >= self._renewed + self.terms.lease_s / RENEWALS:
             self._renewed = now
             held = [votes for votes in self._votes.values() if votes.held]
             self._ask(held, now)
-        if not self._draining:
-            self._try(now)
+        self._try(now)
 
     def _check(self, votes: Votes, now: float) -> None:
         """Extend a lease by the newest grants, or note that it is lost."""
@@ -351,10 +353,8 @@
         return places
 
     def _drain(self) -> None:
+        """Let all leases run out before a planned stop."""
         self._draining = True
-        held = [group for group, votes in self._votes.items() if votes.held]
-        for group in held:
-            self.release(group)
 
     def _send(self, instance: str, message: object) -> None:
         """Send a message, or hand it over here if it is for this process."""
