Start only what can end in time and hear engines' cache events

Cause: work could start just before its deadline and be cut off, flooded promises made earlier counted ahead of work with a smaller virtual start, and the agent daemon never read its engine's cache events.

Change: patient work and service calls wait at most until the mean duration before their deadline; a promise that came too late for them is taken back; only promises with a smaller virtual start count ahead. The agent polls the engine's cache events and passes them on, with gaps as gaps.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -21,6 +21,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
+EVENTS_TIMEOUT_S = 2.0
 TOKEN_TIMEOUT_S = 5.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Headers that the HTTP library would add where the caller sent none.
@@ -62,6 +63,21 @@
         return connection
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One change of an engine's prefix cache.
+
+    Attributes:
+        seq: number of the event; a number that is left out tells of a gap.
+        stored: hashes as of `ebonyglade.placement.prefixes.prompt_blocks`.
+        evicted: hashes of blocks that are gone.
+    """
+
+    seq: int
+    stored: list[int]
+    evicted: list[int]
+
+
 def new_session() -> aiohttp.ClientSession:
     """Return a session without limits on connections or total time.
 
@@ -142,6 +158,17 @@
         except aiohttp.ClientError as error:
             raise _as_engine_error(error) from error
 
+    async def cache_events(self, since: int) -> list[CacheEvent]:
+        """Return what changed in the prefix cache after an event's number."""
+        url = f"{self.url}/v1/events?since={since}"
+        try:
+            async with asyncio.timeout(EVENTS_TIMEOUT_S), self.session.get(url) as got:
+                await _check(got)
+                rows = (await got.json())["events"]
+                return [CacheEvent(*row) for row in rows]
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise EngineError(str(error), ran=False, lost=True) from error
+
     async def _post(self, path: str, document: dict) -> dict:
         try:
             async with self.session.post(self.url + path, json=document) as answer:
--- a/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from ebonyglade.agent import AgentCore, EndpointLimits
+from ebonyglade.ports import EngineError
 from ebonyglade_agent.engine import HttpEngine, HttpService, new_session
 from ebonyglade_agent.settings import AgentSettings
 from ebonyglade_node.runtime import Node
@@ -15,6 +16,7 @@
 logger = logging.getLogger(__name__)
 
 DRAIN_POLL_S = 0.05
+CACHE_POLL_S = 0.5
 
 
 class Agent(Service):
@@ -33,6 +35,7 @@
         self._session = new_session()
         makers = {"engine": (HttpEngine, None), "service": (None, HttpService)}
         engine, service = makers[section.kind]
+        engine = engine(section.url, self._session) if engine else None
         self.core = AgentCore(
             self.node.context,
             EndpointLimits(
@@ -42,7 +45,7 @@
                 section.lease_s,
                 section.resumes,
             ),
-            engine(section.url, self._session) if engine else None,
+            engine,
             service(section.url, self._session) if service else None,
         )
         self.node.attach(self.core.peers, self.core.config)
@@ -52,6 +55,22 @@
             StatusServer(self._settings.status, self.node)
         )
 
+        if engine:
+            self.add_future(self._watch_cache(engine))
+
+    async def _watch_cache(self, engine: HttpEngine) -> None:
+        """Pass the engine's cache events on; they are hints, so none is vital."""
+        seq = 0
+        while not self.should_stop:
+            await asyncio.sleep(CACHE_POLL_S)
+            try:
+                events = await engine.cache_events(seq)
+            except EngineError:
+                continue
+            for event in events:
+                self.core.reports.cache_event(event.seq, event.stored, event.evicted)
+                seq = event.seq
+
     async def on_stop(self) -> None:
         """Close the connections to the endpoint."""
         if self._session is not None:
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/fairness.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/fairness.py
@@ -53,6 +53,7 @@
         patient: patient requests of small workspaces.
         late: refusals of small workspaces' reads after more than a second.
         occupancy: mean share of decode slots in use.
+        wasted: share of prefilled tokens whose result was not used.
     """
 
     queue: str
@@ -64,6 +65,7 @@
     patient: int
     late: int
     occupancy: float
+    wasted: float
 
 
 def load_of(seed: int, load: float, seconds: float) -> list[Arrival]:
@@ -103,6 +105,7 @@
         len(patient),
         sum(_late_refusal(outcome) for outcome in reads),
         bench.occupancy,
+        bench.fleet.tally.wasted / bench.fleet.tally.prefilled,
     )
 
 
@@ -160,6 +163,7 @@
             "Patient sent",
             "Late refusals",
             "Slots in use",
+            "Wasted prefill",
         ),
     )
     for row in rows:
@@ -173,6 +177,7 @@
             row.patient,
             row.late,
             f"{row.occupancy:.3f}",
+            f"{100 * row.wasted:.2f}%",
         )
     result.notes.append(
         f"{len(SMALL)} workspaces send at the rate given, as a share of a fifth of "
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -165,6 +165,7 @@
             max(pair.lead_s, LEAST_LEAD_S),
             route.patient,
             self.places,
+            whole=route.patient,
         )
 
     def _until_target(self, call: Call, pair: Pair) -> float:
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -98,6 +98,7 @@
             route.priority,
             max(1, round(route.cost)),
             patient=route.patient,
+            whole=True,
         )
         return await reserve(self.exchange, attempt, request, self.clock)
 
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -21,6 +21,7 @@
             it uses the slot; zero to hold the slot before anything starts.
         patient: whether the work waits behind what is not patient.
         places: agents at which the asker waits at the same time.
+        whole: whether `within` covers the whole work and not just the wait.
     """
 
     attempt: str
@@ -34,6 +35,7 @@
     lead: float = 0.0
     patient: bool = False
     places: int = 1
+    whole: bool = False
 
 
 class Reserved(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/worker/admission.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/admission.py
@@ -211,11 +211,18 @@
             message.workspace,
             tokens,
             max(message.weight, 1e-6),
-            now + message.within,
+            now + self._patience(message),
             message.patient,
             now,
         )
 
+    def _patience(self, message: Reserve) -> float:
+        """Return the seconds for which work can wait and still end in time."""
+        if not message.whole:
+            return message.within
+        # A mean is a guess, so it never takes more than half of the time.
+        return message.within - min(self.predictor.duration, message.within / 2)
+
     def _tell_place(self, item: Waiting, now: float) -> None:
         """Tell a waiting entry when to expect its slot, or that it is too late."""
         asked = self._asked[item.id]
@@ -233,11 +240,7 @@
 
     def _promised_before(self, item: Waiting, key: tuple[float, int]) -> int:
         """Return how many promises come before work at a place in the order."""
-        return sum(
-            1
-            for promise in self._promised.values()
-            if promise.at <= item.arrived or promise.item.key < key
-        )
+        return sum(1 for promise in self._promised.values() if promise.item.key < key)
 
     def _forecast(self, now: float) -> "Forecast":
         ends: list[End] = []
@@ -325,6 +328,17 @@
             if item.id in self.queue and self._hopeless(item, ready, now):
                 self._refuse(item, "deadline_infeasible", ready)
 
+        for promise in list(self._promised.values()):
+            if promise.message.whole and now > promise.item.latest:
+                self._withdraw(promise)
+
+    def _withdraw(self, promise: _Promise) -> None:
+        """Take back a promise that the slot came too late for."""
+        attempt = promise.message.attempt
+        self.slots.release(attempt)
+        refusal = refuse("deadline_infeasible", retry_after=LEAST_RETRY_S)
+        self.outlets.refused(promise.sender, attempt, refusal)
+
     def _hopeless(self, item: Waiting, ready: float, now: float) -> bool:
         if now >= item.latest:
             return True
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -192,3 +192,16 @@
         busy.admission.tick(busy.now)
     promised = [number for number in range(6) if busy.promised(f"note-{number}")]
     assert promised == [0, 1]
+
+
+def test_work_that_could_not_end_in_time_does_not_start(busy):
+    """Jobs take about a second here; one that starts later is cut off."""
+    busy.reserve("note", lead=0.1, within=3.0, patient=True, whole=True)
+    began = busy.now
+    while busy.now < began + 2.2:
+        busy.now += 0.1
+        for name in ("a", "b", "note"):
+            busy.table.renew(name, "entry", busy.now)
+        busy.admission.tick(busy.now)
+    assert busy.refused["note"].code == "deadline_infeasible"
+    assert not busy.claim("note")
