--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -11,8 +11,10 @@
 from ebonyglade_lab import demo, deployment, operator, reference
 from ebonyglade_lab.experiments import (
     choosing,
+    configuration,
     fairness,
     idle,
+    memory,
     once,
     placement,
     retries,
@@ -32,6 +34,11 @@
         if not report.good:
             sys.exit(1)
 
+    def memory(self) -> None:
+        """Print how soon engine memory is free after each fault."""
+        logging.basicConfig(level=logging.CRITICAL)
+        print(memory.report())
+
     def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
         """Run the decisions under seeded faults and judge them by an oracle."""
         logging.basicConfig(level=logging.CRITICAL)
@@ -161,6 +168,15 @@
             table.record(name)
             print(table.markdown())
 
+    def configuration(self) -> None:
+        """Measure how a change spreads and what it costs, by size of fleet."""
+        for name, table in (
+            ("configuration-spread", configuration.spread_table()),
+            ("configuration-cost", configuration.cost_table()),
+        ):
+            table.record(name)
+            print(table.markdown())
+
     def reference(self) -> None:
         """Write docs/settings.md from the models of all settings."""
         reference.write()
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/bench.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/bench.py
@@ -23,7 +23,7 @@
 TEAM = "aula"
 FIRST_TOKEN_S = 0.64
 BETWEEN_TOKENS_S = 0.048
-SETTLE_S = 1.0
+SETTLE_S = 10.0  # until entries hold rates of their workspaces
 SAMPLE_S = 0.05
 PIECES = 400
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/commands.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/commands.py
@@ -7,7 +7,7 @@
 import sys
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from urllib.parse import quote
 
 import fire
@@ -95,13 +95,15 @@
 async def serve(service: Service) -> None:
     """Run a service until a signal, drain it and stop it.
 
+    A second signal ends the drain; answers still under way are cut off then.
+
     Raises:
         UserError: an address of the settings can't be used.
     """
-    stop = asyncio.Event()
+    stop, again = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
+        loop.add_signal_handler(name, _note_signal, stop, again)
     try:
         await service.start()
     except (OSError, zmq.ZMQError) as error:
@@ -112,10 +114,26 @@
         logger.error("crashed", exc_info=service.crash_reason)
         await service.stop()
         sys.exit(EXIT_FAILURE)
-    await service.drain()
+    await drain_until(service, again.wait())
     await service.stop()
 
 
+def _note_signal(stop: asyncio.Event, again: asyncio.Event) -> None:
+    (again if stop.is_set() else stop).set()
+
+
+async def drain_until(service: Service, enough: Awaitable[None]) -> None:
+    """Drain a service, but no longer than until `enough` is done."""
+    drain = asyncio.ensure_future(service.drain())
+    hurry = asyncio.ensure_future(enough)
+    await asyncio.wait([drain, hurry], return_when=asyncio.FIRST_COMPLETED)
+    for task in (drain, hurry):
+        task.cancel()
+    await asyncio.gather(drain, hurry, return_exceptions=True)
+    if not drain.cancelled():
+        drain.result()
+
+
 def run_program(name: str, commands: type[NodeCommands]) -> None:
     """Run a command line; a user's mistake is one line and exit code 2."""
     try:
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 
 from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.freshness import Freshness
+from ebonyglade.config.relay import Relay
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.invariants import Invariants
@@ -13,7 +15,8 @@
 from ebonyglade.once.grants import Grants
 from ebonyglade.ownership.ownership import Ownership
 from ebonyglade.ownership.terms import Terms
-from ebonyglade.ports import Engine, ServiceCaller
+from ebonyglade.pause import GuardedEngine, GuardedService
+from ebonyglade.ports import Engine, Sender, ServiceCaller
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
@@ -59,14 +62,17 @@
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.relay = Relay(context, self.peers, self.config)
+        self.freshness = Freshness(context, self.peers, self.config, self.relay)
+        check = context.pauses.check
         self.ownership = Ownership(
             context, self.config, terms or Terms(), candidate=False
         )
         book = TicketBook(context.me, context.token_bytes)
         self.desk = TicketDesk(book, context.transport, context.clock)
         self.worker = Worker(
-            engine,
-            service,
+            GuardedEngine(engine, check) if engine else None,
+            GuardedService(service, check) if service else None,
             context.transport,
             context.clock,
             SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
@@ -77,18 +83,23 @@
             resumes=limits.resumes,
             new_queue=new_queue,
         )
+        context.events.listen(Event.PAUSED, self._on_paused)
+        context.handle({Leaving: self._on_leaving})
         self.reports = Reports(context, self.worker.load)
-        self.peers.revision = lambda: self.config.store.revision
-        self.peers.on_revision = self.config.heard_revision
         context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
         context.every(ADMIT_S, self.worker.admit)
         context.handle(self.desk.handlers)
         context.every(FORGET_S, self.desk.tick)
 
-    def drain(self, known: Callable[[], list[str]]) -> None:
-        """Announce a planned stop and refuse new work."""
-        for instance in known():
-            self.context.send(instance, Leaving())
+    def _on_paused(self, seconds: float) -> None:
+        """Give up at once what ran out during the pause."""
+        self.worker.tick(self.context.clock())
+
+    def _on_leaving(self, sender: Sender, message: Leaving) -> None:
+        self.relay.leaving(sender.instance)
+
+    def drain(self) -> None:
+        """Announce a planned stop to whom it concerns and refuse new work."""
         self.worker.drain()
         self.context.events.send(Event.DRAINING)
--- a/packages/ebonyglade/src/ebonyglade/ports.py
+++ b/packages/ebonyglade/src/ebonyglade/ports.py
@@ -30,6 +30,10 @@
         """Remember where an instance takes messages."""
         ...
 
+    def forget(self, instance: str) -> None:
+        """Drop the address of an instance and the connection to it."""
+        ...
+
     def reconnect(self, instance: str) -> None:
         """Drop the connection to an instance; the next message opens a new one."""
         ...
@@ -47,11 +51,19 @@
         ...
 
     async def cancel(self, job: str) -> None:
-        """Stop a job and free its memory."""
+        """Stop a job or export and free its memory. Idempotent.
+
+        Raises:
+            EngineError: the engine did not confirm it.
+        """
         ...
 
     async def held(self) -> list[str]:
-        """Return the ids of the jobs that hold memory."""
+        """Return the ids of the jobs and exports that hold memory.
+
+        Raises:
+            EngineError: the engine did not answer.
+        """
         ...
 
 
