--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -10,6 +10,7 @@
 from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
 from ebonyglade_lab import demo, deployment, operator, reference
 from ebonyglade_lab.experiments import (
+    charging,
     choosing,
     configuration,
     fairness,
@@ -45,6 +46,19 @@
         if not good:
             sys.exit(EXIT_FAILURE)
 
+    def charging(self, seeds: int = charging.SEEDS, record: bool = False) -> None:
+        """Measure two ways of charging answers to a workspace's rate.
+
+        Args:
+            seeds: runs for each way.
+            record: write docs/measurements/charging.md.
+        """
+        logging.disable(logging.ERROR)
+        result = charging.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("charging")
+
     def limits(self, seeds: int = limits.SEEDS, record: bool = False) -> None:
         """Measure wrongful refusals and the bound of workspaces' rates.
 
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/charging.py
@@ -0,0 +1,128 @@
+"""Charging whole answers in advance against charging them in steps."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from ebonyglade.calls import Call, Reply, StreamFailed, TokenStream
+from ebonyglade_lab.experiments.report import Table
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.world import Node, World
+
+KEY = "aula/physics"
+RATE, BURST = 5000.0, 10_000.0  # tokens a second, tokens
+ENTRIES, AGENTS = 3, 4
+LOADS = (0.8,)  # tokens asked for, as a share of the rate
+PROMPT_TOKENS = 100
+MEAN_TOKENS = 100
+MOST_TOKENS = 1024
+TOKEN_S = 0.02
+SPAN_S, START_S = 60.0, 6.0
+STALL_S = 0.2
+SEEDS = 3
+STEPS = {
+    "longest answer": MOST_TOKENS,
+    "steps of 64": 64,
+    "steps of 16": 16,
+}
+
+
+@dataclass(slots=True)
+class Counts:
+    """What became of the requests of one way of charging."""
+
+    requests: int = 0
+    refused: int = 0
+    cut_off: int = 0
+    stalled: int = 0
+    waits: list[float] = field(default_factory=list)
+
+
+def measure(seeds: int = SEEDS) -> Table:
+    """Return the table of both ways."""
+    table = Table(
+        "Charging answers",
+        f"python -m ebonyglade_lab charging --seeds {seeds}",
+        ("Load", "Charged", "Requests", "Refused", "Cut off", "Stalled", "Wait p99, s"),
+    )
+    for load in LOADS:
+        for name, step in STEPS.items():
+            _measure(table, load, name, step, seeds)
+    table.notes.append(
+        f"One workspace of {RATE:.0f} tokens/s with a burst of {BURST:.0f} asked "
+        f"for its rate times the load for {SPAN_S:.0f} s: prompts of {PROMPT_TOKENS} "
+        f"tokens, answers of {MEAN_TOKENS} on average and at most {MOST_TOKENS}, one "
+        f"token each {TOKEN_S * 1000:.0f} ms. "
+        f"Stalled answers had a gap of over {STALL_S} s."
+    )
+    return table
+
+
+def _measure(table: Table, load: float, name: str, step: int, seeds: int) -> None:
+    counts = Counts()
+    for seed in range(seeds):
+        run(_run(seed, load, step, counts))
+    waits = sorted(counts.waits)
+    p99 = waits[int(0.99 * (len(waits) - 1))]
+    cells = (counts.requests, counts.refused, counts.cut_off, counts.stalled)
+    table.add(load, name, *cells, round(p99, 3))
+
+
+async def _run(seed: int, load: float, step: int, counts: Counts) -> None:
+    world = World(seed)
+    world.publish_team("aula", ["physics"], RATE, BURST)
+    for index in range(AGENTS):
+        world.add_service(f"rooms-{index}")
+    for index in range(ENTRIES):
+        node = world.add_entry(f"entry-{index}")
+        node.core.admission.step = step
+    await asyncio.sleep(START_S)
+    rng = random.Random(seed)
+    end = world.now() + SPAN_S
+    tasks = []
+    while world.now() < end:
+        length = 1 + min(MOST_TOKENS - 1, int(rng.expovariate(1 / MEAN_TOKENS)))
+        node = world.nodes[f"entry-{rng.randrange(ENTRIES)}"]
+        call = world.model_call(KEY, "x" * 4 * PROMPT_TOKENS, MOST_TOKENS)
+        tasks.append(node.process.spawn(_ask(world, node, call, length, counts)))
+        await asyncio.sleep(
+            rng.expovariate(load * RATE / (PROMPT_TOKENS + MEAN_TOKENS))
+        )
+    await asyncio.gather(*tasks)
+
+
+async def _ask(
+    world: World, node: Node, call: Call, length: int, counts: Counts
+) -> None:
+    started = world.now()
+    counts.requests += 1
+    view = node.core.config.view
+    call.view, call.owner = view, view.owner_of(KEY)
+    call.route = view.models["abstracts"][0]
+    call.deadline = started + call.route.route.deadline_s
+
+    async def proceed(call: Call) -> Reply:
+        counts.waits.append(world.now() - started)
+        return Ok(TokenStream(_answer(length)))
+
+    reply = await node.core.admission(call, proceed)
+    if isinstance(reply, Err):
+        counts.refused += 1
+        return
+    last, stalled = world.now(), False
+    try:
+        async for _ in reply.ok_value.tokens:
+            stalled |= world.now() - last > STALL_S
+            last = world.now()
+    except StreamFailed:
+        counts.cut_off += 1
+    counts.stalled += stalled
+
+
+async def _answer(length: int) -> AsyncIterator[list[str]]:
+    for number in range(length):
+        await asyncio.sleep(TOKEN_S)
+        yield [str(number)]
--- a/packages/ebonyglade/src/ebonyglade/limits/admission.py
+++ b/packages/ebonyglade/src/ebonyglade/limits/admission.py
@@ -15,7 +15,7 @@
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, Verdict, refuse
 
-STEP_TOKENS = 64  # charged at once when an answer outgrows its estimate
+STEP_TOKENS = 16
 START_SERVICE_S = 0.1
 
 
@@ -23,22 +23,21 @@
 class Admission:
     """Charges before the work and settles after it.
 
-    A model request is charged its prompt and the estimated length of its
-    answer. An answer that outgrows the estimate is charged in steps, before
-    its tokens go out and ahead of requests that have not started.
+    A model request is charged its prompt and a first step of its answer. Each
+    further step is charged before its tokens go out, ahead of requests that
+    have not started.
 
     Attributes:
         rights: where tokens come from.
         clock: monotonic seconds.
         view: returns the configuration in force.
-        whole: whether the longest possible answer is charged in advance.
+        step: tokens of an answer that are charged at once.
     """
 
     rights: Rights
     clock: Clock
     view: Callable[[], View]
-    whole: bool = False
-    _lengths: Estimates = field(default_factory=Estimates)
+    step: int = STEP_TOKENS
     _times: Estimates = field(default_factory=Estimates)
 
     async def __call__(self, call: Call, proceed: Proceed) -> Reply:
@@ -62,16 +61,10 @@
     def _cost(self, call: Call, workspace: Workspace) -> float:
         if call.prompt is None:
             return call.route.route.cost
-        answer = self._expected(call)
+        answer = min(call.max_tokens, self.step)
         room = math.floor(workspace.burst - call.prompt.tokens)
         return call.prompt.tokens + max(1, min(answer, room))
 
-    def _expected(self, call: Call) -> int:
-        if self.whole:
-            return call.max_tokens
-        estimate = self._lengths.get(_length_key(call), call.max_tokens)
-        return min(call.max_tokens, math.ceil(estimate))
-
     async def _run(
         self, call: Call, proceed: Proceed, reservation: Reservation
     ) -> Reply:
@@ -92,10 +85,6 @@
             if not settled:
                 reservation.settle()
 
-    def finished(self, call: Call, tokens: int) -> None:
-        """Learn from the length of a whole answer."""
-        self._lengths.add(_length_key(call), tokens, call.max_tokens)
-
 
 @dataclass(slots=True)
 class _Metered:
@@ -122,10 +111,6 @@
         try:
             batch = await anext(self.tokens)
             await self._charge(len(batch))
-        except StopAsyncIteration:
-            self.admission.finished(self.call, self.sent)
-            await self.aclose()
-            raise
         except BaseException:
             await self.aclose()
             raise
@@ -150,7 +135,7 @@
         rest = self.call.max_tokens - self.sent
         outcome = await self.admission.rights.acquire(
             self.call.workspace,
-            max(tokens, min(STEP_TOKENS, rest)),
+            max(tokens, min(self.admission.step, rest)),
             self.call.deadline,
             urgent=True,
         )
@@ -159,9 +144,5 @@
         return outcome.ok_value
 
 
-def _length_key(call: Call) -> str:
-    return f"{call.workspace} {call.route.name}"
-
-
 def _may_have_run(refusal: Refusal) -> bool:
     return refusal.verdict is not Verdict.NOT_RUN
