--- a/packages/ebonyglade/src/ebonyglade/context.py
+++ b/packages/ebonyglade/src/ebonyglade/context.py
@@ -66,7 +66,8 @@
 
     def __post_init__(self) -> None:
         if self.token_bytes is None:
-            self.token_bytes = self.rng.randbytes
+            # Predictable, for runs that must repeat; daemons pass their own.
+            self.token_bytes = random.Random(self.me.incarnation).randbytes
 
     def handle(self, handlers: dict[type[Message], Handler]) -> None:
         """Add handlers by message type."""
