Find, isolate and refuse requests that crash endpoints

Cause: a request that crashes each endpoint that runs it was retried up to four times and again at each repeat of its caller. A stream's second resuming is paid from the budget.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/checks.py
@@ -14,13 +14,13 @@
 POISON_DEATHS = 6
 
 # Checks whose mechanism has not landed; each is turned on with it.
-CHECK_VERDICT_OVER_ATTEMPTS = False
+CHECK_VERDICT_OVER_ATTEMPTS = True
 # Whether only one direction of a connection may go silent.
 ONE_WAY_SILENCE = False
 CHECK_MEMORY_LEASES = False
-CHECK_REPEATS_RUN_ONCE = False
+CHECK_REPEATS_RUN_ONCE = True
 CHECK_RATES = False
-CHECK_POISON = False
+CHECK_POISON = True
 CHECK_STREAMS_OF_WITHDRAWN_KEYS = False
 CHECK_RESTARTED_REVISION = False
 CHECK_RELAYED_CONFIGURATION = False
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -264,6 +264,9 @@
             return
         if POISON in operation.text:
             return
+        if operation.kind == BOOKING and send.before:
+            # A repeat of what ran is refused with the truth, cut off from nothing.
+            return
         self.counts["calm"] += 1
         refusal = outcome.refusal
         self.require(
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -13,6 +13,7 @@
 from ebonyglade.ownership.ownership import Ownership
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.ports import Engine, ServiceCaller
+from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
@@ -71,6 +72,7 @@
             context.invariants,
             desk=self.desk,
             grants=Grants(context.new_id),
+            deaths=Deaths(context.new_id, context.send, self._entries),
             resumes=limits.resumes,
         )
         self.reports = Reports(context, self.worker.load)
@@ -82,6 +84,10 @@
         context.handle(self.desk.handlers)
         context.every(FORGET_S, self.desk.tick)
 
+    def _entries(self) -> list[str]:
+        instances = self.config.view.instances.items()
+        return [name for name, instance in instances if instance.role == "entry"]
+
     def drain(self, known: Callable[[], list[str]]) -> None:
         """Announce a planned stop and refuse new work."""
         for instance in known():
--- a/packages/ebonyglade/src/ebonyglade/retry/retries.py
+++ b/packages/ebonyglade/src/ebonyglade/retry/retries.py
@@ -34,6 +34,7 @@
         deadline: monotonic seconds by which it must be answered.
         patient: whether its caller waits rather than be refused.
         attempts: attempts so far.
+        resumed: whether its stream went on elsewhere before.
         verdict: the worst of all attempts.
     """
 
@@ -42,6 +43,7 @@
     deadline: float
     patient: bool = False
     attempts: int = 0
+    resumed: bool = False
     verdict: Verdict = Verdict.NOT_RUN
 
 
@@ -103,9 +105,7 @@
             return False
         pause = min(MAX_PAUSE_S, BASE_PAUSE_S * 2 ** min(tries.attempts, 10))
         while tries.deadline - self.clock() > pause + MIN_LEFT_S:
-            # A stream under way was paid for by its request and is not given up
-            # because others need retries; only attempts at a first token are.
-            if action is Action.RESUME or self._budget(tries.pool).spend(self.clock()):
+            if self._paid(tries, action):
                 await asyncio.sleep(pause * self.rng.uniform(0.5, 1.0))
                 return True
             self._note("over_budget")
@@ -115,6 +115,17 @@
             await asyncio.sleep(pause * self.rng.uniform(0.5, 1.0))
         return False
 
+    def _paid(self, tries: Tries, action: Action) -> bool:
+        """Return whether the budget allows an attempt.
+
+        A stream under way goes on once for what its request paid, and is not given
+        up because others need retries.
+        """
+        if action is Action.RESUME and not tries.resumed:
+            tries.resumed = True
+            return True
+        return self._budget(tries.pool).spend(self.clock())
+
     def final(self, tries: Tries, refusal: Refusal) -> Refusal:
         """Return the refusal that the caller gets, true over all attempts."""
         verdict = worst(tries.verdict, refusal.verdict)
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -19,6 +19,7 @@
     ServiceCaller,
     Transport,
 )
+from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Load
@@ -50,6 +51,7 @@
     Use.TOO_LATE: ("endpoint_down", "The slot's lease ran out.", Verdict.NOT_RUN),
     Use.UNKNOWN: ("agent_lost", "The agent was restarted.", Verdict.MAY_HAVE_RUN),
 }
+ISOLATED_RETRY_S = 0.5  # after which an isolated request may find its turn
 MAX_WAITING = 128  # reservations or prefills that wait at one agent
 
 
@@ -94,6 +96,7 @@
         *,
         desk: TicketDesk,
         grants: Grants,
+        deaths: Deaths,
         resumes: bool = True,
     ) -> None:
         self._engine = engine
@@ -102,6 +105,7 @@
         self._slots = slots
         self._desk = desk
         self._grants = grants
+        self._deaths = deaths
         self._serving = Serving(service, slots, desk, grants, clock)
         self._jobs: dict[str, _Job] = {}
         invariants = invariants or Invariants()
@@ -172,6 +176,10 @@
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
+        if not self._deaths.admit(message.attempt, message.isolated, self._slots.get):
+            refusal = refuse("overloaded", retry_after=ISOLATED_RETRY_S)
+            self._refuse(sender, message.attempt, refusal)
+            return
         self._admission.reserve(sender, message, self._clock())
 
     def _on_prefill(self, sender: Sender, message: Prefill) -> None:
@@ -256,6 +264,8 @@
         try:
             await work
         except EngineError as error:
+            if error.ran and error.lost:
+                self._deaths.lost(attempt)
             verdict = Verdict.MAY_HAVE_RUN if error.ran else Verdict.NOT_RUN
             code = "endpoint_failed" if error.ran else "endpoint_down"
             self._fail(sender, attempt, code, str(error), verdict)
@@ -280,6 +290,7 @@
                 self._prefills.turn(item),
             ):
                 job.started = True
+                self._deaths.began(message.attempt, message.fingerprint)
                 result = await self._engine.prefill(
                     PrefillJob(
                         message.attempt, message.model, message.prompt, message.priority
@@ -310,6 +321,7 @@
         )
         whole = False
         job.started = True
+        self._deaths.began(message.attempt, message.fingerprint)
         try:
             async with asyncio.timeout(message.within):
                 total = await self._relay(sender, job, work)
@@ -353,6 +365,7 @@
     def _ended(self, attempt: str, work: Coroutine[None, None, None]) -> None:
         # A task that is cancelled before its first step never enters its work.
         work.close()
+        self._deaths.ended(attempt)
         job = self._jobs.pop(attempt)
         self._slots.release(attempt)
         self._desk.fail(job.key, job.started)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -139,6 +139,15 @@
 async def test_endpoint_that_dies_in_mid_stream_with_no_other():
     async with small_fleet() as fleet:
         fleet.engines["decode-1"]._times = EngineTimes(decode_token=0.02)
+        # Patient work would wait for another engine until its deadline.
+        revision = publish(
+            fleet.platform,
+            "teams/aula/routes/abstracts",
+            kind="model",
+            model="abstracts",
+            pool="abstracts",
+        )
+        await in_force(fleet, revision)
         async with (
             aiohttp.ClientSession() as session,
             session.post(
