--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -9,7 +9,14 @@
 
 from ebonyglade.errors import EXIT_FAILURE, EXIT_USER_ERROR, UserError
 from ebonyglade_lab import demo, deployment, operator, reference
-from ebonyglade_lab.experiments import choosing, idle, once, placement, retries
+from ebonyglade_lab.experiments import (
+    choosing,
+    fairness,
+    idle,
+    once,
+    placement,
+    retries,
+)
 from ebonyglade_lab.fleet import KEY, FleetSize
 from ebonyglade_lab.fuzz import command
 
@@ -25,6 +32,17 @@
         if not report.good:
             sys.exit(1)
 
+    def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
+        """Run the decisions under seeded faults and judge them by an oracle."""
+        logging.basicConfig(level=logging.CRITICAL)
+        try:
+            good = command.fuzz(seeds, steps, jobs)
+        except UserError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_USER_ERROR)
+        if not good:
+            sys.exit(EXIT_FAILURE)
+
     def once(self, seeds: int = once.SEEDS, record: bool = False) -> None:
         """Measure how often a repeated booking is executed under faults.
 
@@ -51,17 +69,6 @@
         if record:
             result.record("retries")
 
-    def fuzz(self, seeds: str = "0:20", steps: int = 1000, jobs: int = 2) -> None:
-        """Run the decisions under seeded faults and judge them by an oracle."""
-        logging.basicConfig(level=logging.CRITICAL)
-        try:
-            good = command.fuzz(seeds, steps, jobs)
-        except UserError as error:
-            print(error, file=sys.stderr)
-            sys.exit(EXIT_USER_ERROR)
-        if not good:
-            sys.exit(EXIT_FAILURE)
-
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
@@ -135,6 +142,16 @@
         table.record("placement")
         print(table.markdown())
 
+    def fairness(self, jobs: int = 3) -> None:
+        """Compare fair queues with FIFO while one workspace floods.
+
+        Args:
+            jobs: runs at the same time.
+        """
+        table = fairness.table(fairness.measure_all(jobs))
+        table.record("fairness")
+        print(table.markdown())
+
     def choosing(self) -> None:
         """Measure herding under lagging reports and what a choice costs."""
         for name, table in (
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -198,16 +198,16 @@
         executions: how often each body was executed.
         down: whether it can't be reached.
         answer_lost: whether it executes and then loses the connection.
-        watcher: sees what is executed.
         seconds: how long a call takes.
+        watcher: sees what is executed.
     """
 
     name: str
     executions: Counter = field(default_factory=Counter)
     down: bool = False
     answer_lost: bool = False
-    watcher: Watcher = field(default_factory=Watcher)
     seconds: float = SERVICE_S
+    watcher: Watcher = field(default_factory=Watcher)
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -6,6 +6,7 @@
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.context import Context
 from ebonyglade.events import Event
+from ebonyglade.invariants import Invariants
 from ebonyglade.members.peers import Peers
 from ebonyglade.once.book import TicketBook
 from ebonyglade.once.desk import TicketDesk
@@ -15,6 +16,7 @@
 from ebonyglade.ports import Engine, ServiceCaller
 from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.wire.control import Leaving
+from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
@@ -53,6 +55,7 @@
         engine: Engine | None = None,
         service: ServiceCaller | None = None,
         terms: Terms | None = None,
+        new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
         self.context = context
         self.peers = Peers(context)
@@ -74,6 +77,7 @@
             grants=Grants(context.new_id),
             deaths=Deaths(context.new_id, context.send, self._entries),
             resumes=limits.resumes,
+            new_queue=new_queue,
         )
         self.reports = Reports(context, self.worker.load)
         self.peers.revision = lambda: self.config.store.revision
