Forget an endpoint's failures once it works again; measure poison requests

Cause: ejections doubled over separate crashes, so that engines that worked again were left alone for up to 8 s; a cancel that failed after an engine's death turned may_have_run into not_run and hid the death.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -15,6 +15,7 @@
     idle,
     once,
     placement,
+    poison,
     retries,
 )
 from ebonyglade_lab.fleet import KEY, FleetSize
@@ -69,6 +70,19 @@
         if record:
             result.record("retries")
 
+    def poison(self, seeds: int = poison.SEEDS, record: bool = False) -> None:
+        """Measure the endpoints lost to requests that crash them.
+
+        Args:
+            seeds: runs for each policy.
+            record: write docs/measurements/poison.md.
+        """
+        logging.disable(logging.ERROR)
+        result = poison.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("poison")
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/retries.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/retries.py
@@ -10,7 +10,7 @@
 
 from ebonyglade.retry import retries
 from ebonyglade.retry.budget import RetryBudget
-from ebonyglade.wire.work import Reserve
+from ebonyglade.wire.work import Prefill
 from ebonyglade_lab.experiments.report import Table
 from ebonyglade_lab.standins.answers import answer_tokens
 from ebonyglade_lab.virtual.loop import run
@@ -108,6 +108,7 @@
 )
 COLUMNS = (
     "attempts a request",
+    "prefills a request",
     "whole answers",
     "refused, not_run",
     "refused, else",
@@ -131,9 +132,11 @@
                 with policy.change():
                     total += run(_one(seed, fault))
             requests = seeds * REQUESTS
-            attempts = f"{total['attempts'] / requests:.3f}"
-            rest = (total[column] for column in COLUMNS[1:])
-            result.add(name, policy.name, requests, attempts, *rest)
+            shares = (
+                f"{total[key] / requests:.3f}" for key in ("attempts", "prefills")
+            )
+            rest = (total[column] for column in COLUMNS[2:])
+            result.add(name, policy.name, requests, *shares, *rest)
     return result
 
 
@@ -148,22 +151,24 @@
         world.add_entry(f"entry-{number}")
     await asyncio.sleep(1)
     counts: Counter[str] = Counter()
-    _count_attempts(world, counts)
+    _count_prefills(world, counts)
     broken = asyncio.ensure_future(fault(world))
     await asyncio.gather(*(_ask(world, rng, n, counts) for n in range(REQUESTS)))
     await broken
+    entries = [world.nodes[f"entry-{number}"].core for number in range(ENTRIES)]
+    counts["attempts"] = sum(core.retries.totals["attempts"] for core in entries)
     return counts
 
 
-def _count_attempts(world: World, counts: Counter[str]) -> None:
-    """Count each attempt at its first message, however often that is sent."""
+def _count_prefills(world: World, counts: Counter[str]) -> None:
+    """Count each prefill that is asked for, however often its message is sent."""
     send, seen = world.network.send, set()
 
     def record(source: str, target: str, frame: bytes) -> None:
         _, message = open_frame(frame)
-        if isinstance(message, Reserve) and message.attempt not in seen:
+        if isinstance(message, Prefill) and message.attempt not in seen:
             seen.add(message.attempt)
-            counts["attempts"] += 1
+            counts["prefills"] += 1
         send(source, target, frame)
 
     world.network.send = record
@@ -191,5 +196,5 @@
 
 _NOTE = f"""Each seed has {ENTRIES} entries, {PAIRS} prefill and {PAIRS} decode
 endpoints and {REQUESTS} requests, one every {GAP_S} s, of {TOKENS} tokens each. An
-attempt counts once its reservation is sent. The target is 1.1 attempts a request with
-half of the endpoints down."""
+attempt is one pair of endpoints that a request was bound to. The target is 1.1
+attempts a request with half of the endpoints down."""
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -18,6 +18,7 @@
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
+from ebonyglade.worker.serving import Serving
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
@@ -65,16 +66,18 @@
         )
         book = TicketBook(context.me, context.token_bytes)
         self.desk = TicketDesk(book, context.transport, context.clock)
+        slots = SlotTable(
+            limits.slots, limits.pieces, limits.lease_s, context.invariants
+        )
+        grants = Grants(context.new_id)
         self.worker = Worker(
             engine,
-            service,
+            Serving(service, slots, self.desk, grants, context.clock),
             context.transport,
             context.clock,
-            SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
+            slots,
             limits.prefill_slots,
             context.invariants,
-            desk=self.desk,
-            grants=Grants(context.new_id),
             deaths=Deaths(context.new_id, context.send, self._entries),
             resumes=limits.resumes,
             new_queue=new_queue,
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -47,12 +47,14 @@
         prompt_tokens: tokens of the prompt as an engine counted them.
         excluded: agents that failed this request.
         attempts: attempts so far.
+        pair: agents of the attempt under way.
     """
 
     tokens: list[str] = field(default_factory=list)
     prompt_tokens: int = 0
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
+    pair: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -74,6 +76,7 @@
         """
         ask = self._ask_for(call, progress)
         pair, decode = await self._promised(call, progress, ask)
+        progress.pair = (pair.prefill, pair.decode)
         try:
             source = await self._prefill(call, progress, ask, pair.prefill)
             async for tokens in self._decode(call, progress, decode, source):
--- a/packages/ebonyglade/src/ebonyglade/dispatch/models.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/models.py
@@ -54,6 +54,7 @@
             try:
                 async for tokens in self.attempts.run(call, progress):
                     progress.tokens.extend(tokens)
+                    self.retries.ejections.worked(progress.pair)
                     yield tokens
                 self.guard.finished(call)
                 return
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -49,6 +49,7 @@
                 reply = await self.attempt(call, name)
                 excluded.add(name)
             if isinstance(reply, Ok):
+                retries.ejections.worked([name])
                 return reply
             names = [name] if name else []
             if not await retries.again(tries, reply.err_value, names):
--- a/packages/ebonyglade/src/ebonyglade/quarantine/deaths.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/deaths.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from ebonyglade.ports import EngineError
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.quarantine import EndpointLost
 
@@ -44,10 +45,11 @@
         """Note that the endpoint is rid of a request."""
         self._running.pop(attempt, None)
 
-    def lost(self, attempt: str) -> None:
-        """Note that the endpoint died under a request, and so under all others."""
-        if attempt not in self._running:
-            return  # Counted with the first one that noticed.
+    def failed(self, attempt: str, error: EngineError) -> None:
+        """Note a failure; if the endpoint died, it did so under all requests."""
+        died = error.ran and error.lost
+        if not died or attempt not in self._running:
+            return  # Another request may have told of this death.
         found = sorted(set(self._running.values()))
         self._running.clear()
         report = EndpointLost(self.new_id(), found)
--- a/packages/ebonyglade/src/ebonyglade/retry/ejection.py
+++ b/packages/ebonyglade/src/ebonyglade/retry/ejection.py
@@ -1,5 +1,6 @@
 """Endpoints that failed lately and are left alone for a while."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 FIRST_EJECTION_S = 0.5
@@ -34,6 +35,11 @@
             seconds = min(2 * known.seconds, LONGEST_EJECTION_S)
         self._ejected[name] = _Ejection(now + seconds, seconds, now)
 
+    def worked(self, names: Iterable[str]) -> None:
+        """Forget the failures of endpoints that work again."""
+        for name in names:
+            self._ejected.pop(name, None)
+
     def active(self, now: float) -> set[str]:
         """Return the endpoints to leave alone, and forget old failures."""
         old = [
--- a/packages/ebonyglade/src/ebonyglade/worker/serving.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/serving.py
@@ -6,9 +6,16 @@
 from ebonyglade.once.desk import TicketDesk
 from ebonyglade.once.grants import Grants, Use
 from ebonyglade.ports import Clock, EngineError, Sender, ServiceCaller, ServiceReply
+from ebonyglade.verdict import Verdict
 from ebonyglade.wire.work import Serve
 from ebonyglade.worker.slots import SlotTable
 
+# How a request with a grant that can't be used is refused.
+UNUSABLE = {
+    Use.TOO_LATE: ("endpoint_down", "The slot's lease ran out.", Verdict.NOT_RUN),
+    Use.UNKNOWN: ("agent_lost", "The agent was restarted.", Verdict.MAY_HAVE_RUN),
+}
+
 
 class Sending(Protocol):
     """What a job notes about its sending.
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -1,14 +1,14 @@
 """The work of an agent: the only sender to the endpoint beside it."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ebonyglade.invariants import Invariants
-from ebonyglade.once.desk import TicketDesk
-from ebonyglade.once.grants import Grants, Use
+from ebonyglade.once.grants import Use
 from ebonyglade.ports import (
     Clock,
     DecodeJob,
@@ -16,7 +16,6 @@
     EngineError,
     PrefillJob,
     Sender,
-    ServiceCaller,
     Transport,
 )
 from ebonyglade.quarantine.deaths import Deaths
@@ -42,15 +41,10 @@
 from ebonyglade.worker.fair import FairQueue, Waiting
 from ebonyglade.worker.predict import Predictor
 from ebonyglade.worker.prefills import PrefillLine, TurnRefused
-from ebonyglade.worker.serving import Serving
+from ebonyglade.worker.serving import UNUSABLE, Serving
 from ebonyglade.worker.slots import SlotTable
 
 FIRST_CREDIT_TOKENS = 256
-# How a request with a grant that can't be used is refused.
-_UNUSABLE = {
-    Use.TOO_LATE: ("endpoint_down", "The slot's lease ran out.", Verdict.NOT_RUN),
-    Use.UNKNOWN: ("agent_lost", "The agent was restarted.", Verdict.MAY_HAVE_RUN),
-}
 ISOLATED_RETRY_S = 0.5  # after which an isolated request may find its turn
 MAX_WAITING = 128  # reservations or prefills that wait at one agent
 
@@ -87,15 +81,13 @@
     def __init__(
         self,
         engine: Engine | None,
-        service: ServiceCaller | None,
+        serving: Serving,
         transport: Transport,
         clock: Clock,
         slots: SlotTable,
         prefill_slots: int = 1,
         invariants: Invariants | None = None,
         *,
-        desk: TicketDesk,
-        grants: Grants,
         deaths: Deaths,
         resumes: bool = True,
         new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
@@ -104,10 +96,8 @@
         self._transport = transport
         self._clock = clock
         self._slots = slots
-        self._desk = desk
-        self._grants = grants
         self._deaths = deaths
-        self._serving = Serving(service, slots, desk, grants, clock)
+        self._serving = serving
         self._jobs: dict[str, _Job] = {}
         invariants = invariants or Invariants()
         self._admission = Admission(
@@ -204,8 +194,8 @@
         if use is Use.REPEATED:
             return
         if use is not Use.START:
-            self._fail(sender, message.attempt, *_UNUSABLE[use])
-        elif self._desk.answers(sender, message):
+            self._fail(sender, message.attempt, *UNUSABLE[use])
+        elif self._serving.desk.answers(sender, message):
             self._slots.release(message.attempt)
         else:
             self._claim(sender, message.attempt, self._serve, message)
@@ -265,8 +255,7 @@
         try:
             await work
         except EngineError as error:
-            if error.ran and error.lost:
-                self._deaths.lost(attempt)
+            self._deaths.failed(attempt, error)
             verdict = Verdict.MAY_HAVE_RUN if error.ran else Verdict.NOT_RUN
             code = "endpoint_failed" if error.ran else "endpoint_down"
             self._fail(sender, attempt, code, str(error), verdict)
@@ -300,7 +289,7 @@
                 self._prefills.observe(item, result.tokens - result.cached)
         except (TimeoutError, asyncio.CancelledError):
             if job.started:
-                await self._engine.cancel(message.attempt)
+                await self._cancel(message.attempt)
             raise
         reply = Prefilled(
             message.attempt, result.source, result.handle, result.tokens, result.cached
@@ -327,11 +316,19 @@
             async with asyncio.timeout(message.within):
                 total = await self._relay(sender, job, work)
             whole = True
+        except EngineError as error:
+            self._deaths.failed(message.attempt, error)
+            raise
         finally:
             if not whole:
-                await self._engine.cancel(message.attempt)
+                await self._cancel(message.attempt)
         self._transport.send(sender.instance, Done(message.attempt, total))
 
+    async def _cancel(self, attempt: str) -> None:
+        # What failed first decides the verdict, not a cancel that fails after it.
+        with contextlib.suppress(EngineError):
+            await self._engine.cancel(attempt)
+
     async def _relay(self, sender: Sender, job: _Job, work: DecodeJob) -> int:
         """Pass tokens on as they come and return their number."""
         total = len(work.resume)
@@ -369,7 +366,7 @@
         self._deaths.ended(attempt)
         job = self._jobs.pop(attempt)
         self._slots.release(attempt)
-        self._desk.fail(job.key, job.started)
+        self._serving.desk.fail(job.key, job.started)
 
     def _fail(
         self,
@@ -394,7 +391,7 @@
 
     def _promise(self, sender: Sender, reserved: Reserved) -> None:
         """Tell of a reservation, with the grant that its request must carry."""
-        grant = self._grants.issue(reserved.attempt)
+        grant = self._serving.grants.issue(reserved.attempt)
         self._send(sender, msgspec.structs.replace(reserved, grant=grant))
 
     def _send(self, sender: Sender, message: Message) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyglade.ports import EngineError
 from ebonyglade.quarantine import guard, table
 from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.quarantine.fingerprint import fingerprint
@@ -14,6 +15,7 @@
     Standing,
 )
 from ebonyglade_lab.standins.answers import answer_tokens
+from ebonyglade_lab.virtual import endpoints
 from ebonyglade_lab.virtual.endpoints import POISON
 from ebonyglade_lab.virtual.loop import run
 from helpers.bookings import told
@@ -90,8 +92,10 @@
     for attempt, item in (("1", "a"), ("2", "b"), ("3", "c")):
         deaths.began(attempt, item)
     deaths.ended("3")
-    deaths.lost("1")
-    deaths.lost("2")
+    deaths.failed("1", EngineError("full", ran=False))
+    deaths.failed("1", EngineError("refused", ran=False, lost=True))
+    deaths.failed("1", EngineError("lost", lost=True))
+    deaths.failed("2", EngineError("lost", lost=True))
     assert [message.fingerprints for message in sent] == [["a", "b"]]
 
 
@@ -148,6 +152,35 @@
     assert lost > 2 * MOST_LOST
 
 
+def _crash_in_mid_answer(monkeypatch):
+    """Let the poison pass its prefill and crash a decode engine later."""
+    real = endpoints.EngineState.start
+
+    def start(self, job, prompt, *rest):
+        real(self, job, prompt.replace(POISON, "later"), *rest)
+        if POISON in prompt and self.name.startswith("decode"):
+            asyncio.get_running_loop().call_later(0.02, self.crash, prompt)
+
+    monkeypatch.setattr(endpoints.EngineState, "start", start)
+
+
+def test_poison_that_crashes_in_mid_answer_is_found_too(monkeypatch):
+    _crash_in_mid_answer(monkeypatch)
+    lost, outcomes = in_world(_repeated, entries=3, pairs=6)
+    assert lost <= MOST_LOST
+    assert told(outcomes[-1]) == ("quarantined", "not_run")
+
+
+def test_engine_that_dies_in_mid_answer_is_never_called_not_run(monkeypatch):
+    _crash_in_mid_answer(monkeypatch)
+
+    async def scenario(world):
+        return await world.call("entry-0", poison(world))
+
+    outcome = in_world(scenario, pairs=1)
+    assert outcome.refusal.verdict.value in ("may_have_run", "ran")
+
+
 async def _at_once(world):
     """Let all entries have the poison request at the same moment, twice."""
     for _ in range(2):
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -1,6 +1,7 @@
 import asyncio
 import itertools
 import random
+from pathlib import Path
 
 import pytest
 from hypothesis import given, strategies as st
@@ -26,6 +27,8 @@
 from ebonyglade.verdict import REFUSALS, Verdict, refuse, worst
 from ebonyglade_lab.virtual.loop import run
 
+PAGE = Path(__file__).parents[1] / "docs/design/retries.md"
+
 
 def test_every_failure_has_an_action_and_a_known_code():
     assert {item.code for item in FAILURES.values()} <= REFUSALS.keys()
@@ -65,8 +68,7 @@
 
 
 def test_page_shows_the_table():
-    with open("docs/design/retries.md") as page:
-        assert markdown() in page.read()
+    assert markdown() in PAGE.read_text()
 
 
 @given(st.lists(st.sampled_from(["request", "retry", "second"]), max_size=300))
@@ -104,6 +106,16 @@
     assert ejections.wait(now + 1000.0) == waits[0]
 
 
+def test_endpoint_that_works_again_starts_anew():
+    ejections = Ejections()
+    ejections.failed("a", 0.0)
+    ejections.failed("a", 1.0)
+    ejections.worked(["a", "b"])
+    assert ejections.active(1.0) == set()
+    ejections.failed("a", 2.0)
+    assert ejections.wait(2.0) == pytest.approx(0.5)
+
+
 def _again(refusal, patient=False, spent=False, deadline=10.0):
     async def scenario():
         loop = asyncio.get_running_loop()
