--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 
 from ebonyglade.config.controller import ConfigController
+from ebonyglade.config.freshness import Freshness
+from ebonyglade.config.relay import Relay
 from ebonyglade.context import Context
 from ebonyglade.events import Event
 from ebonyglade.invariants import Invariants
@@ -13,7 +15,8 @@
 from ebonyglade.once.grants import Grants
 from ebonyglade.ownership.ownership import Ownership
 from ebonyglade.ownership.terms import Terms
-from ebonyglade.ports import Engine, ServiceCaller
+from ebonyglade.pause import GuardedEngine, GuardedService
+from ebonyglade.ports import Engine, Sender, ServiceCaller
 from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.fair import FairQueue
@@ -61,6 +64,9 @@
         self.context = context
         self.peers = Peers(context)
         self.config = ConfigController(context)
+        self.relay = Relay(context, self.peers, self.config)
+        self.freshness = Freshness(context, self.peers, self.config, self.relay)
+        check = context.pauses.check
         self.ownership = Ownership(
             context, self.config, terms or Terms(), candidate=False
         )
@@ -70,9 +76,10 @@
             limits.slots, limits.pieces, limits.lease_s, context.invariants
         )
         grants = Grants(context.new_id)
+        guarded = GuardedService(service, check) if service else None
         self.worker = Worker(
-            engine,
-            Serving(service, slots, self.desk, grants, context.clock),
+            GuardedEngine(engine, check) if engine else None,
+            Serving(guarded, slots, self.desk, grants, context.clock),
             context.transport,
             context.clock,
             slots,
@@ -82,9 +89,9 @@
             resumes=limits.resumes,
             new_queue=new_queue,
         )
+        context.events.listen(Event.PAUSED, self._on_paused)
+        context.handle({Leaving: self._on_leaving})
         self.reports = Reports(context, self.worker.load)
-        self.peers.revision = lambda: self.config.store.revision
-        self.peers.on_revision = self.config.heard_revision
         context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
         context.every(ADMIT_S, self.worker.admit)
@@ -95,9 +102,14 @@
         instances = self.config.view.instances.items()
         return [name for name, instance in instances if instance.role == "entry"]
 
-    def drain(self, known: Callable[[], list[str]]) -> None:
-        """Announce a planned stop and refuse new work."""
-        for instance in known():
-            self.context.send(instance, Leaving())
+    def _on_paused(self, seconds: float) -> None:
+        """Give up at once what ran out during the pause."""
+        self.worker.tick(self.context.clock())
+
+    def _on_leaving(self, sender: Sender, message: Leaving) -> None:
+        self.relay.leaving(sender.instance)
+
+    def drain(self) -> None:
+        """Announce a planned stop to whom it concerns and refuse new work."""
         self.worker.drain()
         self.context.events.send(Event.DRAINING)
--- a/tests/test_once_world.py
+++ b/tests/test_once_world.py
@@ -6,6 +6,7 @@
 
 from ebonyglade.once import book as books, grants
 from ebonyglade.once.grants import Use
+from ebonyglade.pause import PauseGuard
 from ebonyglade.wire.work import Serve
 from ebonyglade_lab.virtual import endpoints
 from ebonyglade_lab.virtual.loop import run
@@ -198,6 +199,7 @@
         return await call(self, method, path, headers, body, lambda: True)
 
     monkeypatch.setattr(endpoints.VirtualService, "call", unchecked)
+    monkeypatch.setattr(PauseGuard, "check", lambda self: False)
     assert in_world(_paused_before_sending) == ("may_have_run", 1)
 
 
