--- a/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/__main__.py
@@ -19,6 +19,7 @@
     memory,
     once,
     placement,
+    poison,
     retries,
     workload,
 )
@@ -123,6 +124,19 @@
         logging.disable(logging.ERROR)
         print(page.write())
 
+    def poison(self, seeds: int = poison.SEEDS, record: bool = False) -> None:
+        """Measure the endpoints lost to requests that crash them.
+
+        Args:
+            seeds: runs for each policy.
+            record: write docs/measurements/poison.md.
+        """
+        logging.disable(logging.ERROR)
+        result = poison.measure(seeds)
+        print(result.markdown())
+        if record:
+            result.record("poison")
+
     def plan(self, directory: str, base_port: int = 7400) -> None:
         """Write settings for a fleet of separate processes on loopback.
 
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -17,9 +17,11 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.pause import GuardedEngine, GuardedService
 from ebonyglade.ports import Engine, Sender, ServiceCaller
+from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
+from ebonyglade.worker.serving import Serving
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.worker import Worker
 
@@ -70,16 +72,20 @@
         )
         book = TicketBook(context.me, context.token_bytes)
         self.desk = TicketDesk(book, context.transport, context.clock)
+        slots = SlotTable(
+            limits.slots, limits.pieces, limits.lease_s, context.invariants
+        )
+        grants = Grants(context.new_id)
+        guarded = GuardedService(service, check) if service else None
         self.worker = Worker(
             GuardedEngine(engine, check) if engine else None,
-            GuardedService(service, check) if service else None,
+            Serving(guarded, slots, self.desk, grants, context.clock),
             context.transport,
             context.clock,
-            SlotTable(limits.slots, limits.pieces, limits.lease_s, context.invariants),
+            slots,
             limits.prefill_slots,
             context.invariants,
-            desk=self.desk,
-            grants=Grants(context.new_id),
+            deaths=Deaths(context.new_id, context.send, self._entries),
             resumes=limits.resumes,
             new_queue=new_queue,
         )
@@ -92,6 +98,10 @@
         context.handle(self.desk.handlers)
         context.every(FORGET_S, self.desk.tick)
 
+    def _entries(self) -> list[str]:
+        instances = self.config.view.instances.items()
+        return [name for name, instance in instances if instance.role == "entry"]
+
     def _on_paused(self, seconds: float) -> None:
         """Give up at once what ran out during the pause."""
         self.worker.tick(self.context.clock())
--- a/packages/ebonyglade/src/ebonyglade/calls.py
+++ b/packages/ebonyglade/src/ebonyglade/calls.py
@@ -49,6 +49,8 @@
         deadline: monotonic seconds by which it must be answered.
         ticket: what the idempotency key says, if it is a ticket.
         wants_ticket: whether the caller asks for a ticket for this route.
+        fingerprint: what repeats of the request have in common.
+        isolated: whether it may only run where no other isolated request does.
         settled: whether the ticket's owner said how the call ended.
     """
 
@@ -67,6 +69,8 @@
     deadline: float = 0.0
     ticket: Ticket | None = None
     wants_ticket: bool = False
+    fingerprint: str = ""
+    isolated: bool = False
     settled: bool = False
 
     @property
--- a/packages/ebonyglade/src/ebonyglade/dispatch/models.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/models.py
@@ -8,6 +8,7 @@
 from ebonyglade.calls import Call, Reply, StreamFailed, TokenStream
 from ebonyglade.dispatch.attempts import PairAttempts, Progress
 from ebonyglade.ports import Clock
+from ebonyglade.quarantine.guard import Guard
 from ebonyglade.retry.retries import Retries, Tries
 from ebonyglade.retry.table import Kind, Reached, Sent, Where, failed
 from ebonyglade.verdict import Refusal, Verdict, worst
@@ -19,6 +20,7 @@
 
     attempts: PairAttempts
     retries: Retries
+    guard: Guard
     clock: Clock
 
     async def run(self, call: Call) -> Reply:
@@ -37,25 +39,35 @@
         """Yield the answer, going on at another endpoint after a failure."""
         tries = self.retries.begin(call.route.route, Kind.MODEL, call.deadline)
         progress.excluded |= self.retries.ejected()
+        lenient = False
         while True:
             if self.clock() >= call.deadline:
                 refusal = failed(Where.DEADLINE, Sent.NOTHING)
                 raise StreamFailed(self._final(tries, refusal, progress))
+            refusal = self.guard.refusal(call)
+            if refusal is not None:
+                raise StreamFailed(self._final(tries, refusal, progress))
+            if not lenient:
+                progress.excluded |= self.guard.kept_apart(call)
             self.retries.attempt(tries)
             before = set(progress.excluded)
             try:
                 async for tokens in self.attempts.run(call, progress):
                     progress.tokens.extend(tokens)
+                    self.retries.ejections.worked(progress.pair)
                     yield tokens
+                self.guard.finished(call)
                 return
             except StreamFailed as failure:
                 refusal = failure.refusal
             names = progress.excluded - before
-            if refusal.code == "no_endpoint" and progress.excluded:
+            if refusal.code == "no_endpoint" and progress.excluded and not lenient:
                 # Better an endpoint that failed lately than none.
+                lenient = True
                 progress.excluded.clear()
                 self.retries.unsent(tries)
                 continue
+            lenient = False
             reached = Reached.PART if progress.tokens else Reached.NOTHING
             if not await self.retries.again(tries, refusal, names, reached):
                 raise StreamFailed(self._final(tries, refusal, progress))
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -27,6 +27,7 @@
 from ebonyglade.ownership.terms import Terms
 from ebonyglade.placement.placer import Placer
 from ebonyglade.ports import Sender
+from ebonyglade.quarantine.guard import Guard
 from ebonyglade.retry.retries import Retries
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Leaving
@@ -65,7 +66,8 @@
         parts = (self.exchange, self.placer, context.clock, context.rng)
         pairs = PairAttempts(*parts, context.new_id)
         self.retries = Retries(context.clock, context.rng, context.count)
-        self.models = ModelDispatcher(pairs, self.retries, context.clock)
+        self.guard = Guard(context.clock, self.retries.ejections, context.send)
+        self.models = ModelDispatcher(pairs, self.retries, self.guard, context.clock)
         self.services = ServiceDispatcher(*parts, context.new_id, self.retries)
         self.tickets = TicketDispatcher(self.services, lambda: self.config.view)
         self.rights = Rights(context, self.ownership)
@@ -81,6 +83,7 @@
             find_route,
             check_size,
             require_ticket,
+            self.guard.filter,
             self.admission,
         ]
         self.run = Chain(filters).around(self._dispatch)
@@ -98,6 +101,7 @@
     def _wire(self) -> None:
         self.context.handle(dict.fromkeys(ANSWERS, self.exchange.deliver))
         self.context.handle({Leaving: self._on_leaving, Failed: self._on_failed})
+        self.context.handle(self.guard.handlers)
         self.context.events.listen(Event.PEER_CHANGED, self._on_peer_changed)
         self.context.events.listen(Event.PEER_FORGOTTEN, self._on_forgotten)
         self.context.every(RENEW_S, self._renew)
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash endpoints: found, isolated and refused."""
--- a/packages/ebonyglade/src/ebonyglade/wire/work.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/work.py
@@ -22,6 +22,7 @@
         patient: whether the work waits behind what is not patient.
         places: agents at which the asker waits at the same time.
         whole: whether `within` covers the whole work and not just the wait.
+        isolated: whether no other isolated work may run beside it.
     """
 
     attempt: str
@@ -36,6 +37,7 @@
     patient: bool = False
     places: int = 1
     whole: bool = False
+    isolated: bool = False
 
 
 class Reserved(Message, frozen=True):
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -7,8 +7,7 @@
 import msgspec
 
 from ebonyglade.invariants import Invariants
-from ebonyglade.once.desk import TicketDesk
-from ebonyglade.once.grants import Grants, Use
+from ebonyglade.once.grants import Use
 from ebonyglade.ports import (
     Clock,
     DecodeJob,
@@ -16,9 +15,9 @@
     EngineError,
     PrefillJob,
     Sender,
-    ServiceCaller,
     Transport,
 )
+from ebonyglade.quarantine.deaths import Deaths
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.control import Load
@@ -42,18 +41,14 @@
 from ebonyglade.worker.memory import EngineMemory
 from ebonyglade.worker.predict import Predictor
 from ebonyglade.worker.prefills import PrefillLine, TurnRefused
-from ebonyglade.worker.serving import Serving
+from ebonyglade.worker.serving import UNUSABLE, Serving
 from ebonyglade.worker.slots import SlotTable
 from ebonyglade.worker.started import Started
 
 Work = Coroutine[None, None, None]
 
 FIRST_CREDIT_TOKENS = 256
-# How a request with a grant that can't be used is refused.
-_UNUSABLE = {
-    Use.TOO_LATE: ("endpoint_down", "The slot's lease ran out.", Verdict.NOT_RUN),
-    Use.UNKNOWN: ("agent_lost", "The agent was restarted.", Verdict.MAY_HAVE_RUN),
-}
+ISOLATED_RETRY_S = 0.5  # after which an isolated request may find its turn
 MAX_WAITING = 128  # reservations or prefills that wait at one agent
 
 
@@ -89,15 +84,14 @@
     def __init__(
         self,
         engine: Engine | None,
-        service: ServiceCaller | None,
+        serving: Serving,
         transport: Transport,
         clock: Clock,
         slots: SlotTable,
         prefill_slots: int = 1,
         invariants: Invariants | None = None,
         *,
-        desk: TicketDesk,
-        grants: Grants,
+        deaths: Deaths,
         resumes: bool = True,
         new_queue: Callable[[int, Invariants], FairQueue] = FairQueue,
     ) -> None:
@@ -105,9 +99,8 @@
         self._transport = transport
         self._clock = clock
         self._slots = slots
-        self._desk = desk
-        self._grants = grants
-        self._serving = Serving(service, slots, desk, grants, clock)
+        self._deaths = deaths
+        self._serving = serving
         self._jobs: dict[str, _Job] = {}
         self._started = Started()
         invariants = invariants or Invariants()
@@ -181,6 +174,10 @@
         if self._draining:
             self._fail(sender, message.attempt, "stopping")
             return
+        if not self._deaths.admit(message.attempt, message.isolated, self._slots.get):
+            refusal = refuse("overloaded", retry_after=ISOLATED_RETRY_S)
+            self._refuse(sender, message.attempt, refusal)
+            return
         self._admission.reserve(sender, message, self._clock())
 
     def _on_prefill(self, sender: Sender, message: Prefill) -> None:
@@ -206,8 +203,8 @@
         if use is Use.REPEATED:
             return
         if use is not Use.START:
-            self._fail(sender, message.attempt, *_UNUSABLE[use])
-        elif self._desk.answers(sender, message):
+            self._fail(sender, message.attempt, *UNUSABLE[use])
+        elif self._serving.desk.answers(sender, message):
             self._slots.release(message.attempt)
         else:
             self._claim(sender, message.attempt, self._serve, message)
@@ -265,6 +262,7 @@
         try:
             await work
         except EngineError as error:
+            self._deaths.failed(attempt, error)
             verdict = Verdict.MAY_HAVE_RUN if error.ran else Verdict.NOT_RUN
             code = "endpoint_failed" if error.ran else "endpoint_down"
             self._fail(sender, attempt, code, str(error), verdict)
@@ -290,6 +288,7 @@
             ):
                 job.started = True
                 self._memory.began(message.attempt)
+                self._deaths.began(message.attempt, message.fingerprint)
                 result = await self._engine.prefill(
                     PrefillJob(
                         message.attempt, message.model, message.prompt, message.priority
@@ -321,6 +320,7 @@
         )
         job.started = True
         self._memory.began(message.attempt)
+        self._deaths.began(message.attempt, message.fingerprint)
         try:
             async with asyncio.timeout(message.within):
                 total = await self._relay(sender, job, work)
@@ -364,9 +364,10 @@
     def _ended(self, attempt: str, work: Work) -> None:
         # A task that is cancelled before its first step never enters its work.
         work.close()
+        self._deaths.ended(attempt)
         job = self._jobs.pop(attempt)
         self._release(attempt)
-        self._desk.fail(job.key, job.started)
+        self._serving.desk.fail(job.key, job.started)
 
     def _release(self, attempt: str) -> None:
         """Free an attempt's slot once the engine is rid of its job."""
@@ -395,7 +396,7 @@
 
     def _promise(self, sender: Sender, reserved: Reserved) -> None:
         """Tell of a reservation, with the grant that its request must carry."""
-        grant = self._grants.issue(reserved.attempt)
+        grant = self._serving.grants.issue(reserved.attempt)
         self._send(sender, msgspec.structs.replace(reserved, grant=grant))
 
     def _send(self, sender: Sender, message: Message) -> None:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -120,13 +120,6 @@
     assert "line 2: burst" in out
 
 
-def test_audit_of_a_stopped_daemon_is_a_user_error(fleet):
-    fleet.stop("prefill-1")
-    arguments = ("audit", settings(fleet, "prefill-1"))
-    code, _, err = command("ebonyglade_agent", *arguments)
-    assert (code, "no running daemon" in err) == (2, True)
-
-
 def test_logs_hold_no_key_and_no_prompt(fleet):
     key, prompt = "demo-key-of-the-aula-team", "a very private prompt"
     operator.ask(fleet.plan, prompt, key)
@@ -135,3 +128,10 @@
         assert key not in log
         assert prompt not in log
     assert "status=" in fleet.log("entry-1")
+
+
+def test_audit_of_a_stopped_daemon_is_a_user_error(fleet):
+    fleet.stop("prefill-1")
+    arguments = ("audit", settings(fleet, "prefill-1"))
+    code, _, err = command("ebonyglade_agent", *arguments)
+    assert (code, "no running daemon" in err) == (2, True)
--- a/tests/test_placement_goodput.py
+++ b/tests/test_placement_goodput.py
@@ -12,7 +12,6 @@
     return row
 
 
-@pytest.mark.known_red
 def test_goodput_is_near_the_central_bound(full):
     assert full.goodput >= 0.95 * full.bound
 
