--- a/packages/ebonyglade/src/ebonyglade/config/freshness.py
+++ b/packages/ebonyglade/src/ebonyglade/config/freshness.py
@@ -39,11 +39,17 @@
         self._since = context.clock()
         self._first_seq = 0
         self._answered: set[str] = set()
+        self._confirmed = False
         peers.on_pong = self._on_pong
         peers.stale = lambda: not self.fresh
         context.events.listen(Event.PAUSED, self._on_paused)
         context.events.listen(Event.VIEW_CHANGED, self._on_view)
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether a neighbour confirmed the view since the start or a pause."""
+        return self._confirmed
+
     @property
     def fresh(self) -> bool:
         """Whether the view may be acted on."""
@@ -72,6 +78,7 @@
 
     def _on_paused(self, seconds: float) -> None:
         self._fresh.clear()
+        self._confirmed = False
         self._since = self._context.clock()
         self._first_seq = self._peers.seq + 1
         self._peers.tick(self._since)
@@ -93,6 +100,7 @@
             return
         starting = self._first_seq == 0
         if not message.stale or (starting and self._all_answered()):
+            self._confirmed = not message.stale
             self._fresh.set()
 
     def _all_answered(self) -> bool:
--- a/packages/ebonyglade/src/ebonyglade/config/relay.py
+++ b/packages/ebonyglade/src/ebonyglade/config/relay.py
@@ -171,7 +171,7 @@
 
     def _settle(self, place: topology.Place) -> None:
         before, self._place = self._place, place
-        for name in set(before.parents) - set(place.parents):
+        for name in sorted(set(before.parents) - set(place.parents)):
             self._peers.release(name, OWNER)
             self._asked_good.pop(name, None)
         fresh = [name for name in place.parents if name not in before.parents]
@@ -189,5 +189,5 @@
             self._context.send(name, ConfigNews(revision))
 
     def _on_draining(self) -> None:
-        for name in {*self.followers, *self._peers.recent()}:
+        for name in sorted({*self.followers, *self._peers.recent()}):
             self._context.send(name, Leaving())
--- a/packages/ebonyglade/src/ebonyglade/limits/owner.py
+++ b/packages/ebonyglade/src/ebonyglade/limits/owner.py
@@ -185,10 +185,11 @@
         for group in self._groups.values():
             for name in changed & before.keys():
                 self._change(group, name, before[name], now)
-            for name in group.buckets.keys() - rates.keys():
+            for name in sorted(group.buckets.keys() - rates.keys()):
                 # Nothing accrues for a workspace that is no longer published.
                 group.buckets[name].change(TINY_RATE, TINY_RATE, now)
-            for name in (rates.keys() - before.keys()) & group.buckets.keys():
+            fresh = rates.keys() - before.keys()
+            for name in sorted(fresh & group.buckets.keys()):
                 group.buckets[name].change(*rates[name], now)
 
     def _change(
--- a/packages/ebonyglade/src/ebonyglade/members/peers.py
+++ b/packages/ebonyglade/src/ebonyglade/members/peers.py
@@ -162,7 +162,7 @@
         for name, instance in view.instances.items():
             if before.get(name) is not instance:
                 self._addresses.listed(name, instance.address)
-        for name in before.keys() - view.instances.keys():
+        for name in sorted(before.keys() - view.instances.keys()):
             self._forget(name)
 
     def _forget(self, instance: str) -> None:
--- a/packages/ebonyglade/src/ebonyglade/once/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/once/desk.py
@@ -60,7 +60,7 @@
         if not key:
             return
         self._book.finish(key, answer)
-        for instance, attempt in self._waiting.pop(key, ()):
+        for instance, attempt in sorted(self._waiting.pop(key, ())):
             self._transport.send(instance, _served(attempt, answer))
 
     def fail(self, key: str, ran: bool) -> None:
--- a/packages/ebonyglade/src/ebonyglade/ownership/members.py
+++ b/packages/ebonyglade/src/ebonyglade/ownership/members.py
@@ -36,7 +36,7 @@
         before = dict(self._members)
         for name, member in listed.items():
             self._add(name, member)
-        for name in self._members.keys() - listed.keys():
+        for name in sorted(self._members.keys() - listed.keys()):
             self._removed.setdefault(name, now)
         if self._members != before:
             self.version += 1
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,3 +1,6 @@
+import subprocess
+import sys
+
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
@@ -25,6 +28,23 @@
     assert run_seed(3, 200) == run_seed(3, 200)
 
 
+def checksum(hash_seed):
+    code = (
+        "import logging; logging.disable(50)\n"
+        "from ebonyglade_lab.fuzz.driver import run_seed\n"
+        "print(run_seed(2, 300).checksum)"
+    )
+    environment = {"PYTHONPATH": ":".join(sys.path), "PYTHONHASHSEED": hash_seed}
+    command = [sys.executable, "-c", code]
+    return subprocess.run(command, env=environment, capture_output=True, check=True)
+
+
+def test_a_seed_gives_the_same_run_in_every_process():
+    """The order of sets of strings differs between processes."""
+    first, second = checksum("0"), checksum("1")
+    assert first.stdout and first.stdout == second.stdout
+
+
 def test_command_tells_of_a_violation(monkeypatch, capsys):
     monkeypatch.setattr("ebonyglade_lab.fuzz.checks.LATE_ANSWER_S", -1000.0)
     assert not fuzz("1:2", steps=20, jobs=1)
