--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/placement.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/placement.py
@@ -34,7 +34,7 @@
     async def run(self, call: Call, progress: Progress) -> AsyncIterator[list[str]]:
         """Yield the rest of an answer from one pair of endpoints."""
         ask = self._ask_for(call, progress)
-        sight = self.placer.sight(call.view)
+        sight = self.placer.sight()
         pair = choose_pair(sight, ask, self.rng, self.clock())
         source = await self._prefill(call, progress, ask, pair.prefill)
         _, decode = await self._promised(call, progress, ask)
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/workload.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/workload.py
@@ -294,8 +294,8 @@
         )
         real = core.placer.sight
 
-        def sight(view: object) -> object:
-            found = real(view)
+        def sight() -> choice.Sight:
+            found = real()
             ask = choice.Ask(MODEL_POOL, 1000)
             started = time.perf_counter()
             choice.choose_pair(found, ask, random.Random(1), core.context.clock())
--- a/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/attempts.py
@@ -122,7 +122,7 @@
     def _binder(self, call: Call, progress: Progress, ask: Ask) -> Binder:
         def propose(asked: set[str]) -> Candidate | None:
             other = replace(ask, excluded=ask.excluded | asked)
-            sight = self.placer.sight(call.view)
+            sight = self.placer.sight()
             pair = choose_pair(sight, other, self.rng, self.clock())
             if pair is None:
                 return None
@@ -146,7 +146,7 @@
         """Choose the prefill agent again if the wait was long."""
         pair, now = bound.pair, self.clock()
         if now - asked_at >= REPLAN_S:
-            sight = self.placer.sight(call.view)
+            sight = self.placer.sight()
             pair = choose_prefill(sight, ask, pair.decode, self.rng, now) or pair
         return pair, bound.attempt
 
--- a/packages/ebonyglade/src/ebonyglade/dispatch/services.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/services.py
@@ -60,7 +60,7 @@
     def choose(self, call: Call, excluded: set[str]) -> str | None:
         """Return the agent to try next; None if there is none."""
         return choose_endpoint(
-            self.placer.sight(call.view),
+            self.placer.sight(),
             call.route.route.pool,
             "service",
             excluded,
--- a/packages/ebonyglade/src/ebonyglade/placement/placer.py
+++ b/packages/ebonyglade/src/ebonyglade/placement/placer.py
@@ -2,6 +2,7 @@
 
 from ebonyglade.config.view import View
 from ebonyglade.context import Context
+from ebonyglade.events import Event
 from ebonyglade.placement.choice import Sight
 from ebonyglade.placement.loads import Loads
 from ebonyglade.placement.prefixes import PrefixIndex
@@ -25,10 +26,17 @@
         self.loads = Loads()
         self.prefixes = PrefixIndex()
         self.subsets = Subsets(context.me.instance)
+        self._view = View()
+        context.events.listen(Event.VIEW_CHANGED, self._on_view)
         context.handle({Load: self._on_load, CacheChanged: self._on_cache})
 
-    def sight(self, view: View) -> Sight:
-        """Return what a choice is made from."""
+    def sight(self) -> Sight:
+        """Return what a choice is made from.
+
+        A request may have waited for long, so the list is that of now and not
+        the one of its arrival.
+        """
+        view = self._view
         zone = view.zone_of(self._context.me.instance) or self._context.me.zone
         return Sight(view, self.subsets, self.loads, self.prefixes, zone)
 
@@ -37,6 +45,9 @@
         self.loads.forget(instance)
         self.prefixes.drop(instance)
 
+    def _on_view(self, view: View) -> None:
+        self._view = view
+
     def _on_load(self, sender: Sender, message: Load) -> None:
         self.loads.report(sender.instance, message, self._context.clock())
 
--- a/tests/test_fuzz_found.py
+++ b/tests/test_fuzz_found.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections import Counter
 
+from ebonyglade.agent import EndpointLimits
 from ebonyglade.worker.fair import FairQueue, Waiting
 from ebonyglade.worker.prefills import PrefillLine
 from ebonyglade_lab.fuzz import checks
 from ebonyglade_lab.virtual.loop import run
-from ebonyglade_lab.virtual.world import SERVICE_POOL, ZONES
+from ebonyglade_lab.virtual.world import MODEL_POOL, SERVICE_POOL, ZONES, World
 from helpers.bookings import book, executions, owner, ticket, told
 from helpers.worlds import KEY, small_world
 
@@ -71,3 +72,34 @@
         return told(outcome), executions(world, b"room 1")
 
     assert run(scenario()) == (("ticket_void", "not_run"), 0)
+
+
+def test_work_that_waited_is_not_sent_to_an_endpoint_that_left_meanwhile():
+    """The pair was chosen by the list of the request's arrival."""
+
+    async def scenario():
+        world = World(1)
+        world.publish_team("aula", ["physics"], rate=50_000.0, burst=100_000.0)
+        route = {"kind": "model", "model": "abstracts", "pool": MODEL_POOL}
+        path = "teams/aula/routes/abstracts"
+        world.platform.publish(path, **route, patient=True, deadline_s=60.0)
+        for index in range(2):
+            world.add_engine(f"prefill-{index}", "prefill")
+        world.add_engine("decode-0", "decode", limits=EndpointLimits(slots=1))
+        world.engines["decode-0"].token_s = 0.05
+        world.add_entry("entry-0")
+        await asyncio.sleep(4)
+        calls = [world.model_call(KEY, f"prompt {number}") for number in range(8)]
+        tasks = [asyncio.ensure_future(world.call("entry-0", call)) for call in calls]
+        await asyncio.sleep(0.3)
+        world.list_instance(
+            "prefill-0", "agent", ZONES[0], MODEL_POOL, "prefill", state="leaving"
+        )
+        await asyncio.sleep(checks.LEAVING_S)
+        before = world.engines["prefill-0"].prefilled
+        outcomes = await asyncio.gather(*tasks)
+        return outcomes, world.engines["prefill-0"].prefilled - before
+
+    outcomes, late = run(scenario())
+    assert all(outcome.whole for outcome in outcomes)
+    assert late == 0
