Gather the experiments' sub-commands and hold fewer groups

Cause: the lab's command line had grown to 270 lines of the same shape; an idle entry of a 56-instance fleet spent 3.4% of a core and 15.9 kB/s, mostly on leases of 256 groups.

--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/commands.py
@@ -0,0 +1,155 @@
+"""Sub-commands that measure something, print a table and record it."""
+
+import logging
+
+from ebonyglade_lab.experiments import (
+    charging,
+    choosing,
+    configuration,
+    fairness,
+    idle,
+    limits,
+    memory,
+    once,
+    placement,
+    poison,
+    retries,
+    workload,
+)
+from ebonyglade_lab.experiments.capacity import page
+from ebonyglade_lab.experiments.report import Table
+
+
+class ExperimentCommands:
+    """Experiments; each records its table under docs/measurements if asked."""
+
+    def memory(self) -> None:
+        """Print how soon engine memory is free after each fault."""
+        _quiet()
+        print(memory.report())
+
+    def charging(self, seeds: int = charging.SEEDS, record: bool = False) -> None:
+        """Measure two ways of charging answers to a workspace's rate.
+
+        Args:
+            seeds: runs for each way.
+            record: write docs/measurements/charging.md.
+        """
+        _quiet()
+        _show(charging.measure(seeds), "charging", record)
+
+    def limits(self, seeds: int = limits.SEEDS, record: bool = False) -> None:
+        """Measure wrongful refusals and the bound of workspaces' rates.
+
+        Args:
+            seeds: runs for each policy and scene.
+            record: write docs/measurements/rates.md.
+        """
+        _quiet()
+        _show(limits.measure(seeds), "rates", record)
+
+    def once(self, seeds: int = once.SEEDS, record: bool = False) -> None:
+        """Measure how often a repeated booking is executed under faults.
+
+        Args:
+            seeds: runs for each policy.
+            record: write docs/measurements/at-most-once.md.
+        """
+        _quiet()
+        _show(once.measure(seeds), "at-most-once", record)
+
+    def retries(self, seeds: int = retries.SEEDS, record: bool = False) -> None:
+        """Measure what entries send while endpoints fail.
+
+        Args:
+            seeds: runs for each policy and fault.
+            record: write docs/measurements/retries.md.
+        """
+        _quiet()
+        _show(retries.measure(seeds), "retries", record)
+
+    def poison(self, seeds: int = poison.SEEDS, record: bool = False) -> None:
+        """Measure the endpoints lost to requests that crash them.
+
+        Args:
+            seeds: runs for each policy.
+            record: write docs/measurements/poison.md.
+        """
+        _quiet()
+        _show(poison.measure(seeds), "poison", record)
+
+    def workload(self, jobs: int = 4, record: bool = True) -> None:
+        """Run the workloads of both deployments, and plot them.
+
+        Args:
+            jobs: runs at the same time.
+            record: write docs/measurements/workload.md and workload.png.
+        """
+        _quiet()
+        rows = workload.measure_all(jobs)
+        _show(workload.table(rows), "workload", record)
+        if record:
+            workload.plot(rows)
+
+    def placement(self, jobs: int = 3, record: bool = True) -> None:
+        """Compare ways to place requests, with their goodput and waste.
+
+        Args:
+            jobs: runs at the same time.
+            record: write docs/measurements/placement.md.
+        """
+        _quiet()
+        _show(placement.table(placement.measure_all(jobs)), "placement", record)
+
+    def fairness(self, jobs: int = 3, record: bool = True) -> None:
+        """Compare fair queues with FIFO while one workspace floods.
+
+        Args:
+            jobs: runs at the same time.
+            record: write docs/measurements/fairness.md.
+        """
+        _quiet()
+        _show(fairness.table(fairness.measure_all(jobs)), "fairness", record)
+
+    def choosing(self, record: bool = True) -> None:
+        """Measure herding under lagging reports and what a choice costs.
+
+        Args:
+            record: write docs/measurements/herding.md and choice-cost.md.
+        """
+        _show(choosing.herding(), "herding", record)
+        _show(choosing.cost(), "choice-cost", record)
+
+    def configuration(self, record: bool = True) -> None:
+        """Measure how a change spreads and what it costs, by size of fleet.
+
+        Args:
+            record: write docs/measurements/configuration-*.md.
+        """
+        _show(configuration.spread_table(), "configuration-spread", record)
+        _show(configuration.cost_table(), "configuration-cost", record)
+
+    def idle(self, seconds: float = 30.0, record: bool = True) -> None:
+        """Measure memory, processor time and control bytes of idle daemons.
+
+        Args:
+            seconds: how long to measure.
+            record: write docs/measurements/idle.md.
+        """
+        _show(idle.run(seconds), "idle", record)
+
+    def capacity(self) -> None:
+        """Measure slopes and write docs/CAPACITY.md."""
+        _quiet()
+        print(page.write())
+
+
+def _quiet() -> None:
+    """Drop the logs of faults that experiments cause on purpose."""
+    logging.disable(logging.ERROR)
+
+
+def _show(table: Table, name: str, record: bool) -> None:
+    print(table.markdown())
+    if record:
+        table.record(name)
--- a/packages/ebonyglade/src/ebonyglade/ownership/terms.py
+++ b/packages/ebonyglade/src/ebonyglade/ownership/terms.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-GROUPS = 256
+GROUPS = 64
 DRIFT = 0.01  # most that the rate of any clock is off
 
 
