--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -38,6 +37,7 @@
 )
 from ebonyglade.worker.admission import Admission, Outlets
 from ebonyglade.worker.fair import FairQueue, Waiting
+from ebonyglade.worker.jobs import FIRST_CREDIT_TOKENS, Job
 from ebonyglade.worker.memory import EngineMemory
 from ebonyglade.worker.predict import Predictor
 from ebonyglade.worker.prefills import PrefillLine, TurnRefused
@@ -47,37 +47,10 @@
 
 Work = Coroutine[None, None, None]
 
-FIRST_CREDIT_TOKENS = 256
 ISOLATED_RETRY_S = 0.5  # after which an isolated request may find its turn
 MAX_WAITING = 128  # reservations or prefills that wait at one agent
 
 
-@dataclass(slots=True)
-class _Job:
-    """A job at the endpoint.
-
-    Attributes:
-        holder: who asked for it.
-        task: runs it.
-        started: whether the endpoint may have seen it.
-        key: idempotency ticket whose execution has not been settled.
-        credit: tokens that may be sent ahead.
-        more: set when the credit grows.
-    """
-
-    holder: Sender
-    task: asyncio.Task | None = None
-    started: bool = False
-    key: str = ""
-    credit: int = FIRST_CREDIT_TOKENS
-    more: asyncio.Event = field(default_factory=asyncio.Event)
-
-    @property
-    def kept(self) -> bool:
-        """Whether it goes on without its holder, for repeats of its ticket."""
-        return self.started and bool(self.key)
-
-
 class Worker:
     """Handles the messages of entries and runs jobs at the endpoint."""
 
@@ -101,7 +74,7 @@
         self._slots = slots
         self._deaths = deaths
         self._serving = serving
-        self._jobs: dict[str, _Job] = {}
+        self._jobs: dict[str, Job] = {}
         self._started = Started()
         invariants = invariants or Invariants()
         self._memory = EngineMemory(engine, clock, slots.term, invariants)
@@ -252,7 +225,7 @@
             work.close()
             return
         self._started.add(attempt, self._clock())
-        job = _Job(sender)
+        job = Job(sender)
         self._jobs[attempt] = job
         job.task = asyncio.ensure_future(self._run(sender, attempt, work))
         job.task.add_done_callback(lambda task: self._ended(attempt, work))
@@ -330,7 +303,7 @@
         self._memory.ended(message.attempt)
         self._transport.send(sender.instance, Done(message.attempt, total))
 
-    async def _relay(self, sender: Sender, job: _Job, work: DecodeJob) -> int:
+    async def _relay(self, sender: Sender, job: Job, work: DecodeJob) -> int:
         """Pass tokens on as they come and return their number."""
         total = len(work.resume)
         async for token in self._engine.decode(work):
