Change the fleet's key pair while the fleet runs

Cause: a process with the new pair could not reach one with the old pair, so 'accept' helped in one direction only. Figures: a test of two processes with different pairs meets at the second connection in both directions; none did before. Conclusion: a change takes three rounds of restarts.

--- a/packages/ebonyglade-node/src/ebonyglade_node/link.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -60,6 +61,7 @@
         self._metrics = metrics
         self._peers: dict[str, _Peer] = {}
         self._addresses: dict[str, str] = {}
+        self._tries: Counter[str] = Counter()
         self._context = zmq.asyncio.Context()
         self._plain = zmq.Context.shadow(self._context)
         self._router: zmq.asyncio.Socket | None = None
@@ -70,24 +72,28 @@
         """Remember where an instance takes messages."""
         if address and self._addresses.get(instance) != address:
             self._addresses[instance] = address
-            self.reconnect(instance)
+            self._drop(instance)
 
     def forget(self, instance: str) -> None:
         """Drop an instance's address and the connection to it."""
         self._addresses.pop(instance, None)
-        self.reconnect(instance)
+        self._tries.pop(instance, None)
+        self._drop(instance)
 
     def close_idle(self, now: float) -> None:
         """Close the connections that nothing used for a while."""
         for instance, peer in list(self._peers.items()):
             if now - peer.used > IDLE_S:
-                self.reconnect(instance)
+                self._drop(instance)
 
     def reconnect(self, instance: str) -> None:
-        """Drop the connection to a peer; the next message opens a new one."""
-        peer = self._peers.pop(instance, None)
-        if peer is not None:
-            peer.socket.close()
+        """Drop the connection to a peer; the next message opens a new one.
+
+        While the fleet's key pair is changed, the next connection expects the
+        next of the keys that the peer may have.
+        """
+        self._tries[instance] += 1
+        self._drop(instance)
 
     def send(self, instance: str, message: Message) -> bool:
         """Queue a message; False if the peer is unknown or its queue is full."""
@@ -128,7 +134,7 @@
     async def on_stop(self) -> None:
         """Close all sockets; what is queued gets a short time to leave."""
         for instance in list(self._peers):
-            self.reconnect(instance)
+            self._drop(instance)
         if self._router is not None:
             self._router.close()
         if self._auth is not None:
@@ -175,7 +181,7 @@
         if address is None:
             return None
         try:
-            peer = _Peer(address, self._connect(address))
+            peer = _Peer(address, self._connect(instance, address))
         except zmq.ZMQError as error:
             # The list may hold anything; a bad address must not end a handler.
             self._metrics.count("link_bad_addresses")
@@ -186,9 +192,19 @@
         self._peers[instance] = peer
         return peer
 
-    def _connect(self, address: str) -> zmq.Socket:
+    def _drop(self, instance: str) -> None:
+        peer = self._peers.pop(instance, None)
+        if peer is not None:
+            peer.socket.close()
+
+    def _peer_key(self, instance: str) -> str:
+        """Return the public key that a peer is expected to have."""
+        keys = (self._fleet.public_key, *self._fleet.accept)
+        return keys[self._tries[instance] % len(keys)]
+
+    def _connect(self, instance: str, address: str) -> zmq.Socket:
         socket = self._plain.socket(zmq.DEALER)
-        socket.curve_serverkey = self._fleet.public_key.encode()
+        socket.curve_serverkey = self._peer_key(instance).encode()
         socket.curve_publickey = self._fleet.public_key.encode()
         socket.curve_secretkey = self._fleet.secret_key.encode()
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -25,9 +25,9 @@
                 await asyncio.sleep(0.01)
 
 
-def new_link(name, keys=KEYS):
+def new_link(name, keys=KEYS, accept=()):
     address = f"tcp://127.0.0.1:{free_port()}"
-    fleet = FleetSection(public_key=keys[0], secret_key=keys[1])
+    fleet = FleetSection(public_key=keys[0], secret_key=keys[1], accept=accept)
     instance = InstanceSection(id=name, address=address, zone="zone-a")
     link = Link(instance, fleet, f"{name}#1", Metrics())
     link.taken = Taken()
@@ -100,6 +100,26 @@
     assert [message for _, message in two.taken] == [Ping(2)]
 
 
+async def test_old_and_new_key_pair_meet_while_the_fleet_changes_it():
+    """Each first expects its own pair at the other; then the accepted one."""
+    new_keys = new_fleet_key()
+    old = new_link("old", KEYS, accept=(new_keys[0],))
+    new = new_link("new", new_keys, accept=(KEYS[0],))
+    for link, peer in ((old, new), (new, old)):
+        await link.start()
+        link.learn(peer._me.id, peer._me.address)
+    for link, peer in ((old, new), (new, old)):
+        link.send(peer._me.id, Ping(1))
+        await asyncio.sleep(0.2)
+        assert not peer.taken
+        link.reconnect(peer._me.id)
+        link.send(peer._me.id, Ping(2))
+        await peer.taken.wait_for(1)
+        assert [message for _, message in peer.taken] == [Ping(2)]
+    await old.stop()
+    await new.stop()
+
+
 async def test_handler_that_fails_does_not_end_the_link(pair):
     one, two = pair
     seen = []
