Judge rates at admission, and what callers get by what was admitted

The limits' proof counts at admission. Change: two checks in place of one: every window of admissions over all entries is within rate x time + burst, and callers get no token that was not admitted. Conclusion: the check is as strict on what the system decides, and no longer depends on when a paused process hands on what it decided.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/oracle.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+from ebonyglade.agent import AgentCore
+from ebonyglade.entry import EntryCore
 from ebonyglade.ports import Sender
 from ebonyglade.verdict import Verdict
 from ebonyglade.wire.base import Message
@@ -27,7 +29,7 @@
         ledger: what callers sent.
         calm: how long instances have been without faults.
         trace: what happened.
-        spending: tokens that workspaces got.
+        spending: tokens that workspaces were admitted for and got.
         leaving: since when each leaving endpoint is listed so.
         woken: when each paused instance last went on.
         verbose: whether messages are traced.
@@ -95,12 +97,27 @@
             self._check_once(operation)
 
     def spent(self, workspace: str, tokens: float) -> None:
-        """Judge tokens that a caller got against its workspace's rate."""
-        over = self.spending.add(workspace, tokens, self.world.now())
+        """Judge tokens that a caller got: they must have been admitted."""
+        over = self.spending.got(workspace, tokens)
         self.require(
             over <= 0 or not checks.CHECK_RATES,
             "never_above_rate_and_burst",
-            f"{workspace} got {over:.1f} tokens too many",
+            f"{workspace} got {over:.1f} tokens that were not admitted",
+            set(),
+        )
+
+    def booted(self, core: EntryCore | AgentCore) -> None:
+        """Watch the admissions of an entry's new process."""
+        if isinstance(core, EntryCore):
+            self.spending.watch(core)
+
+    def judge_rates(self) -> None:
+        """Judge all admissions so far."""
+        workspace, over = self.spending.excess()
+        self.require(
+            over <= 0 or not checks.CHECK_RATES,
+            "never_above_rate_and_burst",
+            f"{workspace} was admitted for {over:.1f} tokens too many",
             set(),
         )
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/run.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/run.py
@@ -62,7 +62,9 @@
         self.rng = random.Random(seed)
         self.trace = Trace()
         self.calm = Calm()
-        self.oracle = Oracle(self.trace, self.calm, Spending(RATE, BURST))
+        self.oracle = Oracle(
+            self.trace, self.calm, Spending(RATE, BURST, lambda: self.now)
+        )
         self.world = World(seed, terms=TERMS, watcher=self.oracle)
         self.oracle.world = self.world
         self.sweeps = Sweeps(self.oracle)
@@ -184,6 +186,7 @@
         while self.now < ends:
             await self.pass_time(0.5)
         self.oracle.raise_failures()
+        self.oracle.judge_rates()
         held = {e.name: e.held_pieces for e in self.world.engines.values()}
         self.oracle.require(
             not any(held.values()),
@@ -201,6 +204,7 @@
     def collect_garbage(self, step: int) -> None:
         """Collect at fixed steps, so that runs are the same in every process."""
         if step % GC_STEPS == 0:
+            self.oracle.judge_rates()
             gc.collect()
 
     def _on_exception(self, loop: object, context: dict) -> None:
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/endpoints.py
@@ -36,6 +36,9 @@
     def heard(self, instance: str, sender: Sender, message: Message) -> None:
         """Note a message before its receiver handles it."""
 
+    def booted(self, core: object) -> None:
+        """Note that a process was started."""
+
     def spent(self, workspace: str, tokens: float) -> None:
         """Note tokens that a caller of a workspace got."""
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/world.py
@@ -196,6 +196,7 @@
             ),
         )
         core = self._makers[name](context, process)
+        self.watcher.booted(core)
         node = Node(process, context, transport, core)
         self.nodes[name] = node
         self.network.attach(name, lambda frame: self._receive(node, frame))
