Read a change again whose read failed or was answered by an older copy

Ruled out: the relay, whose followers and parents were all as they should be. Change: after a failed or older read the next query starts anew.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
@@ -23,6 +23,8 @@
     Attributes:
         silent: whether it answers nobody.
         calls: answered and waiting calls so far.
+        failing_reads: whole reads that fail from now on.
+        older_reads: whole reads that lack the newest change from now on.
         reads: of these, how many returned all documents.
     """
 
@@ -36,6 +38,8 @@
         self.silent = False
         self.calls = 0
         self.reads = 0
+        self.failing_reads = 0
+        self.older_reads = 0
         router = self.app.router
         router.add_get("/v1/kv/{path:.*}", self._get)
         router.add_put("/v1/kv/{path:.*}", self._put)
@@ -89,6 +93,13 @@
             names = sorted({f"{self._prefix}/{path.split('/')[0]}/" for path in rows})
             return web.json_response(names, headers={"X-Consul-Index": str(revision)})
         self.reads += 1
+        if self.failing_reads > 0:
+            self.failing_reads -= 1
+            raise web.HTTPServiceUnavailable
+        if self.older_reads > 0:
+            self.older_reads -= 1
+            rows = {path: row for path, row in rows.items() if row.revision < revision}
+            revision -= 1
         documents = [self._document(path, row) for path, row in sorted(rows.items())]
         return web.json_response(
             documents,
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/watcher.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/watcher.py
@@ -8,6 +8,7 @@
 from ebonyglade_lab.virtual.process import Process
 
 WATCH_WAIT_S = 30.0  # that one watch waits for a change
+RETRY_S = 0.5  # before a failed read is tried again
 LOOK_S = 0.2  # in which a watch learns of a change
 
 
@@ -44,6 +45,10 @@
         if self._read_at is not None and now >= self._read_at:
             self._read_at = None
             self._read()
+            if self.core.config.store.revision < self._seen:
+                # The read failed, or an older copy answered: look again soon.
+                self._seen = -1
+                self._look_at = now + RETRY_S
 
     def _watch(self, now: float) -> None:
         revision = self.platform.newest(self.process.instance)
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -70,6 +70,8 @@
                 await self._follow()
                 pause = RETRY_S
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+                # The change that was noticed may not have been read.
+                self._index = 0
                 self._metrics.count("platform_errors")
                 logger.warning("platform not read", extra={"reason": repr(error)})
                 await asyncio.sleep(pause)
@@ -90,6 +92,10 @@
         await asyncio.sleep(self._relay.read_delay(revision))
         if revision > self._config.store.revision:
             await self._read()
+        if revision > self._config.store.revision:
+            # An older copy answered; the next query must not wait for a change.
+            self._index = 0
+            await asyncio.sleep(RETRY_S)
 
     async def _read(self) -> None:
         self._metrics.count("platform_reads")
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,37 @@
+"""A process's watch of the configuration service, over HTTP."""
+
+import asyncio
+
+import pytest
+
+from ebonyglade_lab.fleet import publish
+from helpers.fleets import small_fleet
+
+
+@pytest.fixture
+async def fleet():
+    async with small_fleet(prefill=0, decode=0, service=0) as fleet:
+        yield fleet
+
+
+async def in_force(fleet, revision):
+    entry = next(iter(fleet.entries.values()))
+    async with asyncio.timeout(4):
+        while entry.node.config.view.revision < revision:
+            await asyncio.sleep(0.01)
+
+
+def change(fleet):
+    path = "teams/aula/workspaces/new"
+    return publish(fleet.platform, path, rate=1.0, burst=2.0)
+
+
+async def test_change_whose_read_failed_is_read_again(fleet):
+    """The watch had moved past the change and waited for the next one."""
+    fleet.platform.failing_reads = 2
+    await in_force(fleet, change(fleet))
+
+
+async def test_change_that_an_older_copy_hides_is_read_again(fleet):
+    fleet.platform.older_reads = 2
+    await in_force(fleet, change(fleet))
