Ask the engine questions on one kept connection

Cause: an agent asked its engine what it holds and what its cache did up to six times a second, each on a new connection. Change: harmless questions use a session of their own that keeps its connection; cache events are read once a second. Figures: an idle model agent took 1.5 to 1.9% of a core before and 1.3 to 1.7% after, beside eight busy processes; an agent of a plain service 1.3 to 1.4%. Conclusion: a little; the rest is timers and heartbeats.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -22,6 +22,7 @@
 CONNECT_TIMEOUT_S = 1.0
 EVENTS_TIMEOUT_S = 2.0
 TOKEN_TIMEOUT_S = 5.0
+QUERY_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Headers that the HTTP library would add where the caller sent none.
 ADDED_BY_LIBRARY = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -91,12 +92,25 @@
     )
 
 
+def new_query_session() -> aiohttp.ClientSession:
+    """Return a session that keeps its connection; only for harmless questions."""
+    timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
+    return aiohttp.ClientSession(timeout=timeout, cookie_jar=aiohttp.DummyCookieJar())
+
+
 @dataclass(slots=True)
 class HttpEngine:
-    """A model engine reached over HTTP."""
+    """A model engine reached over HTTP.
+
+    Attributes:
+        url: base address.
+        session: for jobs and orders, each on a connection of its own.
+        queries: for questions that may be asked twice, on one connection.
+    """
 
     url: str
     session: aiohttp.ClientSession
+    queries: aiohttp.ClientSession
 
     async def prefill(self, job: PrefillJob) -> PrefillResult:
         """Compute a prompt's KV cache."""
@@ -147,7 +161,7 @@
     async def held(self) -> list[str]:
         """Return the ids of the jobs that hold memory."""
         try:
-            async with self.session.get(self.url + "/v1/held") as answer:
+            async with self.queries.get(self.url + "/v1/held") as answer:
                 await _check(answer)
                 return (await answer.json())["jobs"]
         except aiohttp.ClientError as error:
@@ -157,7 +171,7 @@
         """Return what changed in the prefix cache after an event's number."""
         url = f"{self.url}/v1/events?since={since}"
         try:
-            async with asyncio.timeout(EVENTS_TIMEOUT_S), self.session.get(url) as got:
+            async with asyncio.timeout(EVENTS_TIMEOUT_S), self.queries.get(url) as got:
                 await _check(got)
                 rows = (await got.json())["events"]
                 return [CacheEvent(*row) for row in rows]
--- a/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/service.py
@@ -8,7 +8,12 @@
 
 from ebonyglade.agent import AgentCore, EndpointLimits
 from ebonyglade.ports import EngineError
-from ebonyglade_agent.engine import HttpEngine, HttpService, new_session
+from ebonyglade_agent.engine import (
+    HttpEngine,
+    HttpService,
+    new_query_session,
+    new_session,
+)
 from ebonyglade_agent.settings import AgentSettings
 from ebonyglade_node.runtime import Node
 from ebonyglade_node.status import StatusServer
@@ -16,7 +21,7 @@
 logger = logging.getLogger(__name__)
 
 DRAIN_POLL_S = 0.05
-CACHE_POLL_S = 0.5
+CACHE_POLL_S = 1.0
 
 
 class Agent(Service):
@@ -28,14 +33,18 @@
         self.node = Node(settings)
         self.core: AgentCore | None = None
         self._session: aiohttp.ClientSession | None = None
+        self._queries: aiohttp.ClientSession | None = None
 
     async def on_start(self) -> None:
         """Connect the endpoint and start to take work."""
         section = self._settings.endpoint
         self._session = new_session()
-        makers = {"engine": (HttpEngine, None), "service": (None, HttpService)}
-        engine, service = makers[section.kind]
-        engine = engine(section.url, self._session) if engine else None
+        self._queries = new_query_session()
+        engine, service = None, None
+        if section.kind == "engine":
+            engine = HttpEngine(section.url, self._session, self._queries)
+        else:
+            service = HttpService(section.url, self._session)
         self.core = AgentCore(
             self.node.context,
             EndpointLimits(
@@ -46,7 +55,7 @@
                 section.resumes,
             ),
             engine,
-            service(section.url, self._session) if service else None,
+            service,
             terms=self._settings.ownership.terms(),
         )
         self.node.attach(self.core)
@@ -55,8 +64,7 @@
         await self.add_runtime_dependency(
             StatusServer(self._settings.status, self.node)
         )
-
-        if engine:
+        if engine is not None:
             self.add_future(self._watch_cache(engine))
 
     async def _watch_cache(self, engine: HttpEngine) -> None:
@@ -74,8 +82,9 @@
 
     async def on_stop(self) -> None:
         """Close the connections to the endpoint."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._queries):
+            if session is not None:
+                await session.close()
 
     async def drain(self) -> None:
         """Announce the stop, refuse new work and finish what is under way."""
