Let idle agents sleep

Cause: an idle agent woke 33 times a second for queues that were empty and leases that it never holds. Change: waiting work is looked at often only while there was some in the last 10 s; a process that only votes ticks once a second.

--- a/packages/ebonyglade-node/src/ebonyglade_node/timers.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/timers.py
@@ -10,7 +10,7 @@
 
 logger = logging.getLogger(__name__)
 
-LONGEST_SLEEP_S = 0.1
+LONGEST_SLEEP_S = 0.25
 
 
 class TimerRunner(Service):
--- a/packages/ebonyglade/src/ebonyglade/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/agent.py
@@ -18,6 +18,7 @@
 from ebonyglade.pause import GuardedEngine, GuardedService
 from ebonyglade.ports import Engine, Sender, ServiceCaller
 from ebonyglade.quarantine.deaths import Deaths
+from ebonyglade.timer import Subscription
 from ebonyglade.wire.control import Leaving
 from ebonyglade.worker.fair import FairQueue
 from ebonyglade.worker.reports import Reports
@@ -27,6 +28,7 @@
 
 EXPIRE_S = 0.25
 ADMIT_S = 0.05
+ADMIT_KEPT_S = 10.0  # after the last reservation that had to wait
 FORGET_S = 30.0
 
 
@@ -94,7 +96,9 @@
         self.reports = Reports(context, self.worker.load)
         context.handle(self.reports.watch(self.worker.handlers))
         context.every(EXPIRE_S, self.worker.tick)
-        context.every(ADMIT_S, self.worker.admit)
+        self._admitting: Subscription | None = None
+        self._admit_until = 0.0
+        self.worker.on_waiting = self._admit_soon
         context.handle(self.desk.handlers)
         context.every(FORGET_S, self.desk.tick)
 
@@ -102,6 +106,18 @@
         instances = self.config.view.instances.items()
         return [name for name, instance in instances if instance.role == "entry"]
 
+    def _admit_soon(self) -> None:
+        """Look at waiting work often, until there was none for a while."""
+        self._admit_until = self.context.clock() + ADMIT_KEPT_S
+        if self._admitting is None:
+            self._admitting = self.context.every(ADMIT_S, self._admit)
+
+    def _admit(self, now: float) -> None:
+        self.worker.admit(now)
+        if not self.worker.waiting and now > self._admit_until:
+            self._admitting.cancel()
+            self._admitting = None
+
     def _on_paused(self, seconds: float) -> None:
         """Give up at once what ran out during the pause."""
         self.worker.tick(self.context.clock())
--- a/packages/ebonyglade/src/ebonyglade/ownership/ownership.py
+++ b/packages/ebonyglade/src/ebonyglade/ownership/ownership.py
@@ -17,6 +17,7 @@
 from ebonyglade.wire.ownership import LeaseAnswer, LeaseAsk, LeaseRelease, Refused
 
 TICK_S = 0.1
+VOTER_TICK_S = 1.0  # of a process that never holds a lease
 RENEWALS = 3  # in one term
 CANDIDATES = 3  # entries of a group's rendezvous order that try unasked
 WANTED_S = 3.0  # for which a group is tried after somebody asked for it
@@ -70,7 +71,7 @@
         )
         context.events.listen(Event.VIEW_CHANGED, self._on_view)
         context.events.listen(Event.DRAINING, self._drain)
-        context.every(TICK_S, self.tick)
+        context.every(TICK_S if candidate else VOTER_TICK_S, self.tick)
 
     @property
     def me(self) -> str:
--- a/packages/ebonyglade/src/ebonyglade/worker/worker.py
+++ b/packages/ebonyglade/src/ebonyglade/worker/worker.py
@@ -89,6 +89,7 @@
             prefill_slots, new_queue(MAX_WAITING, invariants), clock
         )
         self._draining = False
+        self.on_waiting: Callable[[], None] = lambda: None
         self._resumes = resumes
         self.handlers: dict[type[Message], Callable[[Sender, Message], None]] = {
             Reserve: self._on_reserve,
@@ -105,6 +106,11 @@
         """Jobs and reservations that are not finished."""
         return len(self._jobs) + (self._slots.reserved_only(self._jobs))
 
+    @property
+    def waiting(self) -> int:
+        """Reservations that wait for a slot."""
+        return self._admission.waiting
+
     def drain(self) -> None:
         """Refuse new work; what is under way goes on."""
         self._draining = True
@@ -152,6 +158,8 @@
             self._refuse(sender, message.attempt, refusal)
             return
         self._admission.reserve(sender, message, self._clock())
+        if self.waiting:
+            self.on_waiting()
 
     def _on_prefill(self, sender: Sender, message: Prefill) -> None:
         if message.attempt in self._started:
