--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/placement.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/placement.py
@@ -8,12 +8,13 @@
 
 import msgspec
 
-from ebonyglade.calls import Call
+from ebonyglade.calls import Call, StreamFailed
 from ebonyglade.dispatch.attempts import PairAttempts, Progress
 from ebonyglade.dispatch.binding import PLACES
 from ebonyglade.dispatch.exchange import Attempt
 from ebonyglade.entry import EntryCore
 from ebonyglade.placement.choice import Pair, choose_pair
+from ebonyglade.verdict import refuse
 from ebonyglade.wire.cache import CacheChanged
 from ebonyglade.wire.work import Reserve
 from ebonyglade_lab.experiments.bench import Bench, Size, on_time
@@ -36,6 +37,8 @@
         ask = self._ask_for(call, progress)
         sight = self.placer.sight()
         pair = choose_pair(sight, ask, self.rng, self.clock())
+        if pair is None:
+            raise StreamFailed(refuse("no_endpoint"))
         source = await self._prefill(call, progress, ask, pair.prefill)
         _, decode = await self._promised(call, progress, ask)
         try:
