Build the world of two experiments in one place

Cause: the poison and retries experiments built the same world line by line, and three constants of the capacity experiment were read by nothing. Change: model_world builds it; the constants are gone.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/outside.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/outside.py
@@ -24,7 +24,6 @@
     FleetSize(8, 20, 20, 8),
 )
 RATES = (5.0, 15.0, 30.0)  # requests a second over the whole fleet
-WARM_REQUESTS = 20
 
 
 def idle() -> tuple[list[Slope], list[tuple[int, str, Rates]]]:
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/target.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/capacity/target.py
@@ -10,7 +10,6 @@
 ZONES = 11
 REQUESTS_S = 8_400
 TOKENS_S = 3_200_000
-KV_BYTES_S = 5_900e9
 CHANGES_DAY = 7_700
 IN_FORCE_S = 4.0
 PLATFORM_CALLS_S = 2_000
@@ -26,7 +25,6 @@
 REQUESTS_ENTRY_S = REQUESTS_S / ENTRIES
 TOKENS_ENTRY_S = TOKENS_S / ENTRIES
 TOKENS_AGENT_S = TOKENS_S / AGENTS
-TOKENS_REQUEST = TOKENS_S / REQUESTS_S
 HOLD_S = 10.0  # assumed seconds for which a request is under way
 
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/poison.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/poison.py
@@ -9,6 +9,7 @@
 
 from ebonyglade.quarantine.guard import Guard
 from ebonyglade_lab.experiments.report import Table
+from ebonyglade_lab.experiments.worlds import model_world
 from ebonyglade_lab.virtual.endpoints import POISON, RESTART_S, EngineState
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.world import World
@@ -96,14 +97,8 @@
 
 
 async def _one(seed: int, copies: int) -> Counter[str]:
-    world = World(seed)
+    world = model_world(seed, ENTRIES, PAIRS)
     rng = random.Random(seed)
-    world.publish_team("aula", ["physics"], rate=1e6, burst=1e6)
-    for number in range(PAIRS):
-        world.add_engine(f"prefill-{number}", "prefill")
-        world.add_engine(f"decode-{number}", "decode")
-    for number in range(ENTRIES):
-        world.add_entry(f"entry-{number}")
     await asyncio.sleep(1)
     counts: Counter[str] = Counter()
     await asyncio.gather(
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/retries.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/retries.py
@@ -12,6 +12,7 @@
 from ebonyglade.retry.budget import RetryBudget
 from ebonyglade.wire.work import Prefill
 from ebonyglade_lab.experiments.report import Table
+from ebonyglade_lab.experiments.worlds import model_world
 from ebonyglade_lab.standins.answers import answer_tokens
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import open_frame
@@ -141,14 +142,8 @@
 
 
 async def _one(seed: int, fault: Callable) -> Counter[str]:
-    world = World(seed)
+    world = model_world(seed, ENTRIES, PAIRS)
     rng = random.Random(seed)
-    world.publish_team("aula", ["physics"], rate=1e6, burst=1e6)
-    for number in range(PAIRS):
-        world.add_engine(f"prefill-{number}", "prefill")
-        world.add_engine(f"decode-{number}", "decode")
-    for number in range(ENTRIES):
-        world.add_entry(f"entry-{number}")
     await asyncio.sleep(1)
     counts: Counter[str] = Counter()
     _count_prefills(world, counts)
