Serve the users' platform by a thin path: entries send to endpoints themselves

Cause: the product ran only on its own platform, with an agent before each endpoint and a published list of instances.

Ruled out: sending through agents, since services without a machine of the system need the direct way anyway.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/commands.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/commands.py
@@ -1,8 +1,14 @@
 """Command line of the entry daemon."""
 
+import asyncio
+
+from ebonyglade_entry.forwarding.service import Forwarding
+from ebonyglade_entry.forwarding.settings import ForwardSettings
 from ebonyglade_entry.service import Entry
 from ebonyglade_entry.settings import EntrySettings
-from ebonyglade_node.commands import NodeCommands, run_program
+from ebonyglade_node import logs
+from ebonyglade_node.commands import NodeCommands, run_program, serve
+from ebonyglade_node.settings import load
 
 
 class Commands(NodeCommands):
@@ -11,6 +17,16 @@
     _settings_model = EntrySettings
     _service = Entry
 
+    def forward(self, settings: str) -> None:
+        """Run an entry that sends requests to endpoints itself.
+
+        Args:
+            settings: path of the TOML settings file.
+        """
+        loaded = load(settings, ForwardSettings)
+        logs.configure(loaded.logs, loaded.instance.name)
+        asyncio.run(serve(Forwarding(loaded)))
+
 
 def main() -> None:
     """Run the command line."""
--- /dev/null
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The entry where requests are forwarded as they came."""
--- /dev/null
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -0,0 +1,62 @@
+"""The forwarding entry: its decisions with sockets and clocks."""
+
+import logging
+
+from mode import Service
+
+from ebonyglade.forward.entry import ForwardEntry, ForwardTerms
+from ebonyglade_entry.forwarding.server import ForwardServer
+from ebonyglade_entry.forwarding.settings import ForwardSettings
+from ebonyglade_node.forward_node import ForwardNode
+
+logger = logging.getLogger(__name__)
+
+# Requests that were let in may still be on their way to an endpoint when the
+# configuration grows too old for new ones.
+KEY_MARGIN_S = 0.7
+
+
+class Forwarding(Service):
+    """Serves callers and sends their requests to endpoints itself."""
+
+    def __init__(self, settings: ForwardSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self.node = ForwardNode(settings)
+        self.entry: ForwardEntry | None = None
+        self.server: ForwardServer | None = None
+
+    async def on_start(self) -> None:
+        """Start all parts; open the door to callers last."""
+        await self.add_runtime_dependency(self.node)
+        bounds = self._settings.bounds
+        revoke_s = bounds.revoke_ms / 1000
+        terms = ForwardTerms(
+            key_age_s=revoke_s - KEY_MARGIN_S if bounds.fail_closed else None,
+            budget=bounds.budget(),
+        )
+        self.entry = ForwardEntry(
+            self.node.context,
+            self.node.adapter,
+            self.node.port,
+            terms,
+            self._settings.seed_addresses(),
+        )
+        self.server = ForwardServer(
+            self._settings.listen, self.node, self.entry, bounds.grace_s
+        )
+        metrics = self.node.metrics
+        metrics.gauge("waiting", self.entry.generation.waiting)
+        metrics.gauge("open_requests", lambda: self.server.doorkeeper.open_requests)
+        metrics.gauge("members", lambda: len(self.entry.members.all()))
+        await self.node.join(self.entry.belief)
+        self.entry.start()
+        await self.add_runtime_dependency(self.server)
+        logger.info("started", extra={"seeds": len(self._settings.seeds)})
+
+    async def drain(self) -> None:
+        """Leave the balancer and finish what is under way."""
+        logger.info("stopping", extra={"open": self.server.doorkeeper.open_requests})
+        await self.server.doorkeeper.drain()
+        self.entry.members.farewell()
+        logger.info("stopped")
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -0,0 +1,85 @@
+"""Link, timers, metrics and store of a process behind an adapter."""
+
+import random
+import secrets
+import time
+
+from mode import Service
+
+from ebonyglade.context import Context, Identity
+from ebonyglade.forward.adapter import load_adapter
+from ebonyglade.forward.belief import Belief
+from ebonyglade.invariants import Invariants
+from ebonyglade_node.clocks import suspended_clock
+from ebonyglade_node.endpoint_client import EndpointClient
+from ebonyglade_node.endpoint_port import HttpEndpointPort
+from ebonyglade_node.forward_settings import ForwardNodeSettings
+from ebonyglade_node.link import Link
+from ebonyglade_node.metrics import Metrics
+from ebonyglade_node.store_reader import StoreReader
+from ebonyglade_node.timers import TimerRunner
+
+INCARNATION_BYTES = 8
+CONNECT_S = 0.3  # a machine of the same region answers a new connection sooner
+
+
+class ForwardNode(Service):
+    """What the daemons share where endpoints are called directly."""
+
+    def __init__(self, settings: ForwardNodeSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.metrics = Metrics()
+        self.adapter = load_adapter(settings.store.adapter)
+        me = settings.instance
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.link = Link(
+            me.for_link(),
+            settings.fleet,
+            incarnation,
+            self.metrics,
+            queue_unconnected=False,
+        )
+        self.context = Context(
+            me=Identity(me.address, incarnation, me.zone, me.region),
+            transport=self.link,
+            clock=suspended_clock,
+            wall=time.time,
+            rng=random.Random(secrets.randbits(128)),
+            token_bytes=secrets.token_bytes,
+            count=self.metrics.count,
+            invariants=Invariants(count=self.metrics.count),
+        )
+        self.link.on_message = self.context.deliver
+        self.runner = TimerRunner(self.context)
+        self.client: EndpointClient | None = None
+        self.port: HttpEndpointPort | None = None
+
+    async def on_start(self) -> None:
+        """Open the HTTP client."""
+        self.client = EndpointClient(CONNECT_S)
+        self.port = HttpEndpointPort(self.adapter, self.client)
+
+    async def join(self, belief: Belief) -> None:
+        """Start the link, the timers and the reader of the store."""
+        settings = self.settings.store
+        reader = StoreReader(
+            settings.address,
+            settings.wait_ms / 1000,
+            self.adapter,
+            self.client,
+            belief,
+            self.context.clock,
+            self.metrics,
+        )
+        self.metrics.gauge("store_revision", lambda: belief.as_of)
+        self.metrics.gauge(
+            "store_age_seconds", lambda: belief.age(self.context.clock())
+        )
+        for service in (self.link, self.runner, reader):
+            await self.add_runtime_dependency(service)
+
+    async def on_stop(self) -> None:
+        """Close the HTTP client."""
+        if self.client is not None:
+            await self.client.close()
--- a/packages/ebonyglade-node/src/ebonyglade_node/link.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/link.py
@@ -53,8 +53,20 @@
         fleet: FleetSection,
         incarnation: str,
         metrics: Metrics,
+        queue_unconnected: bool = True,
     ) -> None:
+        """Prepare the link.
+
+        Args:
+            instance: who this process is.
+            fleet: the fleet's key pair.
+            incarnation: new at each start of the process.
+            metrics: counters.
+            queue_unconnected: whether messages wait for a connection; where
+                they are out of date by then, they are better dropped.
+        """
         super().__init__()
+        self._queue_unconnected = queue_unconnected
         self._me = instance
         self._fleet = fleet
         self._incarnation = incarnation
@@ -118,18 +130,22 @@
 
     async def on_start(self) -> None:
         """Bind the receiving socket."""
+        self._router = self._context.socket(zmq.ROUTER)
+        if self._fleet.secured:
+            self._secure_router()
+        self._router.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_FRAMES)
+        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.bind(self._me.address)
+
+    def _secure_router(self) -> None:
         self._auth = AsyncioAuthenticator(self._context)
         self._auth.start()
         accepted = {self._fleet.public_key, *self._fleet.accept}
         self._auth.configure_curve_callback("*", credentials_provider=_Keys(accepted))
-        self._router = self._context.socket(zmq.ROUTER)
         self._router.curve_server = True
         self._router.curve_secretkey = self._fleet.secret_key.encode()
         self._router.curve_publickey = self._fleet.public_key.encode()
-        self._router.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_FRAMES)
-        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
-        self._router.setsockopt(zmq.LINGER, 0)
-        self._router.bind(self._me.address)
 
     async def on_stop(self) -> None:
         """Close all sockets; what is queued gets a short time to leave."""
@@ -204,9 +220,12 @@
 
     def _connect(self, instance: str, address: str) -> zmq.Socket:
         socket = self._plain.socket(zmq.DEALER)
-        socket.curve_serverkey = self._peer_key(instance).encode()
-        socket.curve_publickey = self._fleet.public_key.encode()
-        socket.curve_secretkey = self._fleet.secret_key.encode()
+        if self._fleet.secured:
+            socket.curve_serverkey = self._peer_key(instance).encode()
+            socket.curve_publickey = self._fleet.public_key.encode()
+            socket.curve_secretkey = self._fleet.secret_key.encode()
+        if not self._queue_unconnected:
+            socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         socket.setsockopt(zmq.LINGER, LINGER_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
--- a/packages/ebonyglade-node/src/ebonyglade_node/settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/settings.py
@@ -5,7 +5,14 @@
 from pathlib import Path
 from typing import Literal, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
 
 from ebonyglade.errors import UserError
 from ebonyglade.ownership.terms import Terms
@@ -60,16 +67,30 @@
 class FleetSection(Section):
     """Key pair that all instances of the fleet share, in Z85 text.
 
+    Without keys messages are neither authenticated nor encrypted, which is for
+    networks that only the fleet's own machines reach.
+
     Attributes:
-        public_key: public half.
-        secret_key: secret half.
+        public_key: public half; empty for none.
+        secret_key: secret half; empty for none.
         accept: further public keys to accept while the key pair is changed.
     """
 
-    public_key: str = Field(min_length=40, max_length=40)
-    secret_key: str = Field(min_length=40, max_length=40, repr=False)
+    public_key: str = Field(default="", pattern=r"^(.{40})?$")
+    secret_key: str = Field(default="", pattern=r"^(.{40})?$", repr=False)
     accept: tuple[str, ...] = ()
 
+    @property
+    def secured(self) -> bool:
+        """Whether connections are authenticated."""
+        return bool(self.public_key)
+
+    @model_validator(mode="after")
+    def _has_both_halves(self) -> "FleetSection":
+        if bool(self.public_key) != bool(self.secret_key):
+            raise ValueError("public_key and secret_key go together")
+        return self
+
 
 class PlatformSection(Section):
     """The platform's configuration service.
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/belief.py
@@ -0,0 +1,178 @@
+"""What this process believes of the store, since when, and what follows.
+
+The copy of the store is complete up to a revision, and was last known to be so
+at a moment on a clock that runs on while the machine is suspended. Reads of the
+store and members' copies both move it forward; nothing moves it back.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from ebonyglade.audit import AuditTrail, Outcome
+from ebonyglade.forward import table as tables
+from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.table import RoutingTable
+from ebonyglade.forward.types import Document, Endpoint, Roster
+from ebonyglade.ports import Clock
+
+logger = logging.getLogger(__name__)
+
+# An endpoint that is alive is listed again this long after an outage of the
+# store ended; the platform's own bound is two seconds.
+LAPSE_S = 1.9
+NEVER = float("-inf")
+
+Changed = Callable[[], None]
+
+
+@dataclass(slots=True)
+class Belief:
+    """The store's documents, and the routes and endpoints they describe.
+
+    Attributes:
+        adapter: decodes the platform's documents.
+        clock: seconds, runs on while the machine is suspended.
+        audit: trail of accepted and rejected changes.
+        table: routes in force; None before any configuration is known.
+        roster: endpoints in use.
+        as_of: revision up to which the copy is complete.
+    """
+
+    adapter: Adapter
+    clock: Clock
+    audit: AuditTrail
+    table: RoutingTable | None = None
+    roster: Roster = field(default_factory=Roster)
+    as_of: int = 0
+    _documents: dict[str, Document] = field(default_factory=dict)
+    _confirmed_at: float = NEVER
+    _outage_ended_at: float = NEVER
+    _lapsed: dict[str, float] = field(default_factory=dict)
+    _listeners: list[Changed] = field(default_factory=list)
+
+    def listen(self, listener: Changed) -> None:
+        """Call `listener` after each change."""
+        self._listeners.append(listener)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the copy was last known to be complete."""
+        return now - self._confirmed_at
+
+    def confirm(self, at: float) -> None:
+        """Note that the copy was complete at a moment."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    def outage_ended(self, now: float) -> None:
+        """Note that the store answers again after it did not."""
+        self._outage_ended_at = now
+
+    def documents(self) -> Iterable[Document]:
+        """Return the documents of the copy."""
+        return self._documents.values()
+
+    def apply(self, documents: Iterable[Document], as_of: int) -> None:
+        """Take changes that are complete from the copy's revision to `as_of`."""
+        changed = [item for item in documents if self._is_news(item)]
+        for item in changed:
+            self._take(item)
+        self._finish(as_of, bool(changed))
+
+    def replace(self, documents: Iterable[Document], as_of: int) -> None:
+        """Take everything that exists as of a revision.
+
+        What the copy holds from later changes stays.
+        """
+        found = {item.path: item for item in documents}
+        gone = [
+            Document(path, None, as_of)
+            for path, known in self._documents.items()
+            if path not in found and known.revision <= as_of
+        ]
+        self.apply([*found.values(), *gone], as_of)
+
+    def tick(self, now: float) -> None:
+        """Drop the endpoints that did not come back after an outage."""
+        over = [name for name, until in self._lapsed.items() if until <= now]
+        for name in over:
+            del self._lapsed[name]
+            self._drop(name, "missing after the store's return")
+        if over:
+            self._tell()
+
+    def _is_news(self, item: Document) -> bool:
+        known = self._documents.get(item.path)
+        if known is None:
+            return item.value is not None
+        return item.revision > known.revision or (
+            item.value is None and item.revision >= known.revision
+        )
+
+    def _take(self, item: Document) -> None:
+        if item.value is None:
+            del self._documents[item.path]
+        else:
+            self._documents[item.path] = item
+        if item.path == self.adapter.CONFIGURATION:
+            self._configure(item)
+        elif item.path.startswith(self.adapter.ENDPOINTS):
+            self._list(item.path.removeprefix(self.adapter.ENDPOINTS), item)
+
+    def _configure(self, item: Document) -> None:
+        if item.value is None:
+            self.audit.add(item.path, item.revision, Outcome.IGNORED, reason="removed")
+            return
+        try:
+            published = self.adapter.decode_published(item.value)
+        except ValueError as error:
+            reason = str(error).replace("\n", " ")[:200]
+            self.audit.add(item.path, item.revision, Outcome.REJECTED, reason=reason)
+            return
+        if self.table is not None and published.version < self.table.version:
+            reason = f"version {published.version} is older than the one in force"
+            self.audit.add(item.path, item.revision, Outcome.IGNORED, reason=reason)
+            return
+        self.table = tables.build(published)
+        reason = f"version {published.version}"
+        self.audit.add(item.path, item.revision, Outcome.ACCEPTED, reason=reason)
+
+    def _list(self, name: str, item: Document) -> None:
+        known = self.roster.endpoints.get(name)
+        if item.value is None:
+            self._unlist(name, known, item.revision)
+            return
+        try:
+            endpoint = self.adapter.decode_endpoint(name, item.value)
+        except ValueError as error:
+            reason = str(error).replace("\n", " ")[:200]
+            self.audit.add(item.path, item.revision, Outcome.REJECTED, reason=reason)
+            self.roster.endpoints.pop(name, None)
+            return
+        self._lapsed.pop(name, None)
+        self.roster.endpoints[name] = endpoint
+        if known is None or known.leaving != endpoint.leaving:
+            state = "leaving" if endpoint.leaving else "listed"
+            self.audit.add(item.path, item.revision, Outcome.ACCEPTED, reason=state)
+
+    def _unlist(self, name: str, known: Endpoint | None, revision: int) -> None:
+        now = self.clock()
+        until = self._outage_ended_at + LAPSE_S
+        if known is not None and not known.leaving and now < until:
+            # Its entry may have run out only because the store was away.
+            self._lapsed[name] = until
+            return
+        self._drop(name, "removed", revision)
+
+    def _drop(self, name: str, reason: str, revision: int = 0) -> None:
+        if self.roster.endpoints.pop(name, None) is not None:
+            path = self.adapter.ENDPOINTS + name
+            self.audit.add(path, revision, Outcome.REMOVED, reason=reason)
+
+    def _finish(self, as_of: int, changed: bool) -> None:
+        self.as_of = max(self.as_of, as_of)
+        if changed:
+            self._tell()
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/desk.py
@@ -0,0 +1,200 @@
+"""What all dispatchers share: choosing, sending, and what a failure means."""
+
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.belief import Belief
+from ebonyglade.forward.budget import FleetBudget
+from ebonyglade.forward.call import (
+    Answer,
+    BrokenOff,
+    EndpointPort,
+    Failure,
+    ForwardCall,
+    Trouble,
+)
+from ebonyglade.forward.crashes import Crashes
+from ebonyglade.forward.loads import Loads
+from ebonyglade.forward.types import Endpoint, Outgoing, Stage
+from ebonyglade.ports import Clock
+from ebonyglade.verdict import Refusal, Verdict, refuse, worst
+
+logger = logging.getLogger(__name__)
+
+# A dispatcher that finds no time left for a useful answer stops here.
+LEAST_S = 0.02
+
+
+@dataclass(slots=True)
+class Desk:
+    """Sends requests to endpoints and keeps account of how they fare.
+
+    Attributes:
+        adapter: names, formats and calls of the platform.
+        port: sends.
+        belief: routes and endpoints.
+        loads: load and failures of endpoints.
+        budget: repeats that are left.
+        crashes: requests under which endpoints crash.
+        clock: seconds.
+        rng: source of randomness.
+        zone: this instance's availability zone.
+        entries: returns how many entries there are.
+    """
+
+    adapter: Adapter
+    port: EndpointPort
+    belief: Belief
+    loads: Loads
+    budget: FleetBudget
+    crashes: Crashes
+    clock: Clock
+    rng: random.Random
+    zone: str
+    entries: Callable[[], int]
+    count: Callable[..., None]
+
+    def choose(
+        self, call: ForwardCall, excluded: set[str], stage: Stage | None = None
+    ) -> Endpoint | None:
+        """Return the endpoint to try next."""
+        listed = self.belief.roster.of(call.service.name, stage)
+        return self.loads.choose(listed, excluded, self.zone, self.clock(), self.rng)
+
+    def left(self, call: ForwardCall) -> float:
+        """Return the seconds until a request is given up."""
+        return call.deadline - self.clock()
+
+    def repeat(self, call: ForwardCall) -> bool:
+        """Take one repeat from the budget."""
+        allowed = self.budget.repeat(call.service.name, self.clock(), self.entries())
+        if not allowed:
+            self.count("repeats_refused")
+            logger.info("no repeat left", extra={"request": call.id})
+        return allowed
+
+    async def send(
+        self,
+        call: ForwardCall,
+        endpoint: Endpoint,
+        out: Outgoing,
+        within: float,
+        runs: bool = True,
+    ) -> Result[Answer, Failure]:
+        """Send a request once and note how the endpoint fares.
+
+        Args:
+            call: the request.
+            endpoint: where to.
+            out: what the endpoint is told besides.
+            within: seconds until the head of the answer must be there.
+            runs: whether the endpoint is to run it.
+        """
+        self.count("sendings")
+        sent = await self.port.send(call, endpoint, out, within)
+        self._note(call, endpoint, sent, runs)
+        return sent
+
+    def outgoing(self, call: ForwardCall, endpoint: Endpoint) -> Outgoing:
+        """Return what an endpoint is told of a request at least."""
+        return Outgoing(
+            deadline_s=self.left(call),
+            endpoint=endpoint.id,
+            workspace=call.workspace_name,
+        )
+
+    def refusal(self, call: ForwardCall, failure: Failure | None) -> Refusal:
+        """Return the final answer of a request whose attempts failed."""
+        if call.verdict is Verdict.NOT_RUN:
+            if self.left(call) <= LEAST_S:
+                return refuse("not_started")
+            if failure is not None and failure.trouble is Trouble.REJECTED:
+                return refuse("overloaded", retry_after=failure.retry_after)
+            return refuse("no_endpoint" if failure is None else "endpoint_down")
+        if self.left(call) <= LEAST_S:
+            return refuse("deadline_exceeded")
+        if failure is not None and failure.trouble is Trouble.BROKEN:
+            return refuse("answer_broken")
+        return refuse("endpoint_failed")
+
+    def broke(self, call: ForwardCall, endpoint: Endpoint) -> Failure:
+        """Note that an answer broke off."""
+        self.loads.answered(endpoint.id, failed=True)
+        call.verdict = worst(call.verdict, Verdict.MAY_HAVE_RUN)
+        return Failure(Trouble.BROKEN, "answer broke off")
+
+    def _note(
+        self,
+        call: ForwardCall,
+        endpoint: Endpoint,
+        sent: Result[Answer, Failure],
+        runs: bool,
+    ) -> None:
+        now = self.clock()
+        if isinstance(sent, Ok):
+            answer = sent.ok_value
+            self.loads.answered(endpoint.id, failed=answer.status >= 500)
+            self.loads.ejections.worked([endpoint.id])
+            if answer.facts.load is not None:
+                self.loads.told(endpoint.id, answer.facts.load, now)
+            call.sent = call.sent or runs
+            return
+        failure = sent.err_value
+        self.count(f"failed_{failure.trouble.value}")
+        logger.info(
+            "attempt failed",
+            extra={
+                "request": call.id,
+                "endpoint": endpoint.id,
+                "trouble": failure.trouble.value,
+                "reason": failure.reason,
+                "store_revision": self.belief.as_of,
+                "store_age": round(self.belief.age(now), 3),
+            },
+        )
+        _AFTERMATH[failure.trouble](self, call, endpoint, now)
+        if runs:
+            call.verdict = worst(call.verdict, failure.verdict)
+
+    def _not_reached(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
+        self.loads.ejections.failed(endpoint.id, now)
+
+    def _rejected(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
+        call.sent = True
+
+    def _lost(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
+        self.loads.ejections.failed(endpoint.id, now)
+        self.loads.answered(endpoint.id, failed=True)
+        self.crashes.crashed(call.fingerprint, now)
+        call.sent = True
+
+    def _late(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
+        self.loads.answered(endpoint.id, failed=True)
+        call.sent = True
+
+
+_AFTERMATH = {
+    Trouble.NOT_SENT: Desk._not_reached,
+    Trouble.REJECTED: Desk._rejected,
+    Trouble.LOST: Desk._lost,
+    Trouble.BROKEN: Desk._late,
+    Trouble.LATE: Desk._late,
+}
+
+
+async def read_whole(answer: Answer) -> Result[bytes, None]:
+    """Return an answer's body; Err if it broke off."""
+    parts = []
+    try:
+        async for part in answer.chunks:
+            parts.append(part)
+        return Ok(b"".join(parts))
+    except BrokenOff:
+        return Err(None)
+    finally:
+        answer.close()
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -0,0 +1,251 @@
+"""The entry's decisions on forwarded requests, composed; without any I/O."""
+
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err
+
+from ebonyglade.audit import AuditTrail
+from ebonyglade.context import Context
+from ebonyglade.forward import table as tables
+from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.belief import Belief
+from ebonyglade.forward.budget import BudgetTerms, FleetBudget
+from ebonyglade.forward.call import EndpointPort, ForwardCall, Reply
+from ebonyglade.forward.copies import Copies
+from ebonyglade.forward.crashes import Crashes, fingerprint
+from ebonyglade.forward.desk import LEAST_S, Desk
+from ebonyglade.forward.generation import GenerationDispatcher
+from ebonyglade.forward.loads import Loads
+from ebonyglade.forward.members import Member, Members
+from ebonyglade.forward.plain import PlainDispatcher
+from ebonyglade.forward.rates import FleetRates
+from ebonyglade.forward.types import Workspace
+from ebonyglade.verdict import Refusal, Verdict, refuse
+from ebonyglade.wire.fleet import Beat
+
+logger = logging.getLogger(__name__)
+
+DEFAULT_DEADLINE_S = 30.0  # of a caller that does not say how long it waits
+KEEP_S = 1.0  # between two clean-ups
+
+Proceed = Callable[[ForwardCall], Awaitable[Reply]]
+Step = Callable[[ForwardCall], Refusal | None]
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardTerms:
+    """Bounds that the platform publishes to its processes.
+
+    Attributes:
+        key_age_s: age of the configuration at which keys are no longer taken
+            on its word; None if they always are.
+        budget: bound on repeats.
+    """
+
+    key_age_s: float | None
+    budget: BudgetTerms
+
+
+class ForwardEntry:
+    """Admits callers' requests and sends them to endpoints."""
+
+    def __init__(
+        self,
+        context: Context,
+        adapter: Adapter,
+        port: EndpointPort,
+        terms: ForwardTerms,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self.context = context
+        self.terms = terms
+        self.audit = AuditTrail(context.wall, listener=_log_change)
+        self.belief = Belief(adapter, context.clock, self.audit)
+        self.copies = Copies(context, self.belief)
+        self.rates = FleetRates()
+        self.crashes = Crashes()
+        self.loads = Loads()
+        self.members = Members(context, seeds, self._compose)
+        self.desk = Desk(
+            adapter=adapter,
+            port=port,
+            belief=self.belief,
+            loads=self.loads,
+            budget=FleetBudget(terms.budget),
+            crashes=self.crashes,
+            clock=context.clock,
+            rng=context.rng or random.Random(),
+            zone=context.me.zone,
+            entries=self.members.entries,
+            count=context.count,
+        )
+        self.plain = PlainDispatcher(self.desk)
+        self.generation = GenerationDispatcher(self.desk)
+        # In this order; the first one that refuses ends the request.
+        self._steps: tuple[Step, ...] = (
+            self._check_belief,
+            self._find_route,
+            self._identify,
+            self._choose_service,
+            self._check_crashes,
+            self._take_tokens,
+        )
+
+    def start(self) -> None:
+        """Join the fleet."""
+        self.copies.start()
+        self.members.on_beat += [self.copies.on_beat, self._on_beat]
+        self.members.on_gone.append(self._on_gone)
+        self.members.start()
+        self.context.every(KEEP_S, self._keep)
+        self.context.every(KEEP_S / 5, self.belief.tick)
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be judged."""
+        return self.belief.table is not None and not self._too_old()
+
+    async def run(self, call: ForwardCall) -> Reply:
+        """Admit a request, send it, and return its answer or a refusal."""
+        refusal = self.admit(call)
+        if refusal is not None:
+            return Err(refusal)
+        call.may_send = lambda: self._may_send(call)
+        engine = call.service.engine is not None and call.facts.prompt is not None
+        dispatcher = self.generation if engine else self.plain
+        reply = await dispatcher.run(call)
+        if isinstance(reply, Err) and call.verdict is Verdict.NOT_RUN:
+            self._refund(call)
+        return reply
+
+    def admit(self, call: ForwardCall) -> Refusal | None:
+        """Return why a request is refused, or None after filling in the call."""
+        for step in self._steps:
+            refusal = step(call)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def _too_old(self) -> bool:
+        most = self.terms.key_age_s
+        return most is not None and self.belief.age(self.context.clock()) > most
+
+    def _check_belief(self, call: ForwardCall) -> Refusal | None:
+        return refuse("starting") if self.belief.table is None else None
+
+    def _find_route(self, call: ForwardCall) -> Refusal | None:
+        path = call.target.partition("?")[0]
+        call.route = self.belief.table.route(call.host, path)
+        if call.route is None:
+            # An old view must not deny a route that was added since.
+            return refuse("configuration_old" if self._too_old() else "route_unknown")
+        waits = call.facts.deadline_s
+        waits = DEFAULT_DEADLINE_S if waits is None else waits
+        call.deadline = call.arrived + min(waits, call.route.timeout_s)
+        return None
+
+    def _identify(self, call: ForwardCall) -> Refusal | None:
+        table = self.belief.table
+        if call.route.open or not table.asks_keys:
+            return None
+        if self._too_old():
+            return refuse("configuration_old")
+        call.workspace = table.by_key.get(call.facts.key)
+        if call.workspace is None:
+            return refuse("key_unknown" if call.facts.key else "key_missing")
+        return None
+
+    def _choose_service(self, call: ForwardCall) -> Refusal | None:
+        name = tables.pick_share(call.route.shares, self.context.rng.random())
+        call.service = self.belief.table.services.get(name)
+        if call.service is None:
+            return refuse("no_endpoint")
+        self.desk.budget.request(name, self.context.clock())
+        return None
+
+    def _check_crashes(self, call: ForwardCall) -> Refusal | None:
+        call.fingerprint = fingerprint(
+            call.workspace_name, call.method, call.target, call.body
+        )
+        if self.crashes.refused(call.fingerprint, self.context.clock()):
+            return refuse("crashes_endpoints")
+        return None
+
+    def _take_tokens(self, call: ForwardCall) -> Refusal | None:
+        workspace = call.workspace
+        if workspace is None:
+            return None
+        call.cost = _cost(call, workspace)
+        wait = self.rates.take(workspace, call.cost, self.context.clock())
+        if wait <= 0:
+            return None
+        call.cost = 0.0
+        return refuse("rate_exceeded", retry_after=wait)
+
+    def _refund(self, call: ForwardCall) -> None:
+        if call.workspace is not None and call.cost:
+            self.rates.refund(call.workspace, call.cost)
+            call.cost = 0.0
+
+    def _may_send(self, call: ForwardCall) -> bool:
+        """Return whether a request may still be sent, right before it is."""
+        if self.context.clock() + LEAST_S > call.deadline:
+            return False
+        if call.workspace is None:
+            return True
+        known = self.belief.table.by_key.get(call.facts.key)
+        return known is not None and not self._too_old()
+
+    def _compose(self) -> Beat:
+        now = self.context.clock()
+        return Beat(
+            sent_at=now,
+            entry=True,
+            zone=self.context.me.zone,
+            members=self.members.known(now),
+            store=self.copies.state(),
+            spent=self.rates.spent,
+            crashes=self.crashes.own(now),
+        )
+
+    def _on_beat(self, member: Member, beat: Beat) -> None:
+        now = self.context.clock()
+        if beat.entry:
+            self.rates.heard(member.address, member.incarnation, beat.spent, now)
+            self.crashes.heard(member.address, beat.crashes)
+        if beat.engine is not None:
+            self.generation.book.heard(beat.engine, now)
+
+    def _on_gone(self, member: Member) -> None:
+        self.rates.gone(member.address)
+        self.crashes.gone(member.address)
+
+    def _keep(self, now: float) -> None:
+        self.rates.keep({item.address for item in self.members.all()})
+        listed = self.belief.roster.endpoints
+        self.loads.keep(listed)
+        self.generation.book.keep(listed)
+
+
+def _cost(call: ForwardCall, workspace: Workspace) -> float:
+    prompt = call.facts.prompt
+    if not workspace.counts_tokens:
+        return 1.0
+    if prompt is None:
+        return workspace.plain_cost
+    return float(prompt.prompt_tokens + prompt.max_tokens)
+
+
+def _log_change(record) -> None:
+    logger.info(
+        "store change",
+        extra={
+            "path": record.path,
+            "revision": record.revision,
+            "outcome": record.outcome.value,
+            "reason": record.reason,
+        },
+    )
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/loads.py
@@ -0,0 +1,101 @@
+"""What this entry knows of endpoints' load, and the choice among them."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ebonyglade.forward.types import Endpoint, Load
+from ebonyglade.retry.ejection import Ejections
+
+TOLD_S = 1.0  # age after which what an endpoint told of its load is worth nothing
+FAILURE_WEIGHT = 0.1  # weight of the newest answer in the share of failures
+FAILURE_COST = 3.0  # what an endpoint that always fails costs more, in full loads
+OTHER_ZONE_COST = 0.15  # what another availability zone costs, in full loads
+
+
+@dataclass(slots=True)
+class _State:
+    """One endpoint, as this entry sees it."""
+
+    in_flight: int = 0
+    told: Load | None = None
+    told_at: float = float("-inf")
+    failures: float = 0.0
+
+
+@dataclass(slots=True)
+class Loads:
+    """Load and failures of the endpoints that this entry uses."""
+
+    ejections: Ejections = field(default_factory=Ejections)
+    _states: dict[str, _State] = field(default_factory=dict)
+
+    def begun(self, endpoint: str) -> None:
+        """Note that a request is sent to an endpoint."""
+        self._state(endpoint).in_flight += 1
+
+    def ended(self, endpoint: str) -> None:
+        """Note that a request is over."""
+        state = self._state(endpoint)
+        state.in_flight = max(0, state.in_flight - 1)
+
+    def in_flight(self, endpoint: str) -> int:
+        """Return how many requests this entry has at an endpoint."""
+        return self._state(endpoint).in_flight
+
+    def told(self, endpoint: str, load: Load, now: float) -> None:
+        """Note the load that an endpoint told."""
+        state = self._state(endpoint)
+        state.told, state.told_at = load, now
+
+    def answered(self, endpoint: str, failed: bool) -> None:
+        """Note how a request ended."""
+        state = self._state(endpoint)
+        state.failures += FAILURE_WEIGHT * (float(failed) - state.failures)
+
+    def keep(self, endpoints: Iterable[str]) -> None:
+        """Forget all other endpoints that nothing is sent to."""
+        kept = set(endpoints)
+        for name in [name for name in self._states if name not in kept]:
+            if not self._states[name].in_flight:
+                del self._states[name]
+
+    def choose(
+        self,
+        endpoints: list[Endpoint],
+        excluded: set[str],
+        zone: str,
+        now: float,
+        rng: random.Random,
+    ) -> Endpoint | None:
+        """Return the endpoint that is the least loaded and fails the least."""
+        usable = [item for item in endpoints if item.id not in excluded]
+        if not usable:
+            return None
+        ejected = self.ejections.active(now)
+        # Better an endpoint that failed lately than none.
+        sound = [item for item in usable if item.id not in ejected] or usable
+        usual = min(self._state(item.id).failures for item in sound)
+        return min(
+            sound,
+            key=lambda item: (
+                self._use(item, now)
+                + FAILURE_COST * (self._state(item.id).failures - usual)
+                + (OTHER_ZONE_COST if item.zone != zone else 0.0),
+                rng.random(),
+            ),
+        )
+
+    def _use(self, endpoint: Endpoint, now: float) -> float:
+        """Return the used part of an endpoint's slots."""
+        state = self._state(endpoint.id)
+        busy = float(state.in_flight)
+        if state.told is not None and now - state.told_at < TOLD_S:
+            busy = max(busy, state.told.running + state.told.waiting)
+        return busy / max(1, endpoint.slots)
+
+    def _state(self, endpoint: str) -> _State:
+        state = self._states.get(endpoint)
+        if state is None:
+            state = self._states[endpoint] = _State()
+        return state
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/table.py
@@ -0,0 +1,89 @@
+"""The published configuration, indexed for requests."""
+
+from bisect import bisect
+from collections import defaultdict
+from dataclasses import dataclass, field
+from itertools import accumulate
+
+from ebonyglade.forward.types import (
+    Published,
+    RequestLimits,
+    Route,
+    Service,
+    Share,
+    Workspace,
+)
+
+
+@dataclass(slots=True)
+class RoutingTable:
+    """Routes by host and path, services by name, workspaces by key.
+
+    Attributes:
+        published: what it was built from.
+        services: by name.
+        workspaces: by name.
+        by_key: workspace of each key in force.
+    """
+
+    published: Published
+    services: dict[str, Service] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    by_key: dict[str, Workspace] = field(default_factory=dict)
+    _routes: dict[str, dict[str, Route]] = field(default_factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
+        return self.published.version
+
+    @property
+    def limits(self) -> RequestLimits:
+        """Bounds on what a caller may send."""
+        return self.published.limits
+
+    @property
+    def asks_keys(self) -> bool:
+        """Whether callers need keys at all."""
+        return self.published.workspaces is not None
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        prefixes = self._routes.get(_bare(host))
+        if prefixes is None:
+            return None
+        end = path.rfind("/") + 1
+        while end > 0:
+            found = prefixes.get(path[:end])
+            if found is not None:
+                return found
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+
+def build(published: Published) -> RoutingTable:
+    """Return the index of a configuration."""
+    routes: dict[str, dict[str, Route]] = defaultdict(dict)
+    for route in published.routes:
+        routes[_bare(route.host)][route.prefix] = route
+    workspaces = published.workspaces or ()
+    return RoutingTable(
+        published,
+        {item.name: item for item in published.services},
+        {item.name: item for item in workspaces},
+        {key: item for item in workspaces for key in item.keys},
+        dict(routes),
+    )
+
+
+def pick_share(shares: tuple[Share, ...], point: float) -> str:
+    """Return the service for a point between 0 and 1."""
+    bounds = list(accumulate(share.weight for share in shares))
+    if not bounds or bounds[-1] <= 0:
+        return shares[0].service if shares else ""
+    index = bisect(bounds, point * bounds[-1])
+    return shares[min(index, len(shares) - 1)].service
+
+
+def _bare(host: str) -> str:
+    return host.partition(":")[0].lower()
--- a/packages/ebonyglade/src/ebonyglade/wire/codec.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/codec.py
@@ -5,7 +5,16 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ebonyglade.wire import cache, control, limits, once, ownership, quarantine, work
+from ebonyglade.wire import (
+    cache,
+    control,
+    fleet,
+    limits,
+    once,
+    ownership,
+    quarantine,
+    work,
+)
 from ebonyglade.wire.base import Message
 
 # Each module of messages lists its own; a new module is added here.
@@ -17,6 +26,7 @@
     ownership,
     quarantine,
     limits,
+    fleet,
 )
 AnyMessage = Union[  # noqa: UP007
     tuple(kind for module in _MODULES for kind in module.MESSAGES)
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -0,0 +1,119 @@
+"""Messages of a fleet that finds itself from a few seed addresses.
+
+Instances are named by the address at which they take messages, since seeds tell
+no more than that.
+"""
+
+import msgspec
+
+from ebonyglade.wire.base import Message
+
+
+class KnownMember(msgspec.Struct, frozen=True, array_like=True):
+    """A member that the sender heard of.
+
+    Attributes:
+        address: where it takes messages.
+        silent_s: seconds since it was last heard, directly or by others.
+    """
+
+    address: str
+    silent_s: float
+
+
+class StoreState(msgspec.Struct, frozen=True, array_like=True):
+    """How far the sender's copy of the store goes.
+
+    Attributes:
+        as_of: store revision up to which it is complete.
+        age_s: seconds since it was last known to be so; negative if never.
+    """
+
+    as_of: int = 0
+    age_s: float = -1.0
+
+
+class EngineState(msgspec.Struct, frozen=True, array_like=True):
+    """State of a model endpoint, as the agent beside it sees it.
+
+    Attributes:
+        endpoint: its id.
+        free_tokens: tokens of memory that are neither used nor reserved.
+        running: requests that run.
+        waiting: requests that wait.
+        age_s: age of the report.
+    """
+
+    endpoint: str
+    free_tokens: int
+    running: int
+    waiting: int
+    age_s: float
+
+
+class Beat(Message):
+    """Sent to every member at a steady pace.
+
+    Attributes:
+        sent_at: the sender's clock, echoed by the receiver.
+        echo: the newest `sent_at` that the sender has from the receiver;
+            negative if there is none.
+        entry: whether the sender takes callers' requests.
+        zone: the sender's availability zone.
+        members: whom the sender knows.
+        store: how far its copy of the store goes.
+        spent: tokens admitted since its start, by workspace.
+        engine: state of the endpoint beside the sender, if it has one.
+        crashes: fingerprints of requests that endpoints crashed under, with
+            the crashes that the sender saw itself.
+    """
+
+    sent_at: float
+    echo: float = -1.0
+    entry: bool = False
+    zone: str = ""
+    members: list[KnownMember] = []
+    store: StoreState = StoreState()
+    spent: dict[str, float] = {}
+    engine: EngineState | None = None
+    crashes: dict[str, int] = {}
+
+
+class CopyDocument(msgspec.Struct, frozen=True, array_like=True):
+    """One document of the store."""
+
+    path: str
+    value: bytes
+    revision: int
+
+
+class CopyAsk(Message):
+    """Asks for what changed in the store after a revision."""
+
+    after: int
+    sent_at: float
+
+
+class CopyAnswer(Message):
+    """A member's copy of the store.
+
+    Attributes:
+        sent_at: of the ask, by the asker's clock.
+        as_of: revision up to which the copy is complete.
+        age_s: seconds since it was last known to be so.
+        paths: all documents that exist.
+        changed: the documents that changed after the asked revision.
+    """
+
+    sent_at: float
+    as_of: int
+    age_s: float
+    paths: list[str] = []
+    changed: list[CopyDocument] = []
+
+
+class Farewell(Message):
+    """The sender is about to end and spends nothing more."""
+
+
+MESSAGES = (Beat, CopyAsk, CopyAnswer, Farewell)
