Give surplus prefill endpoints to decode, and use the published overage of rates

Cause: two of four model endpoints prefilled, so memory for decoding ran out and 39 runs were preempted; 30 of 168 model requests were refused with 429 although the platform grants an overage above rate and burst.

Change: an agent beside each model endpoint is the only one that orders it, and all agents name the same endpoint to change from the same list. The fencing number is the store's revision. Buckets use part of the published overage.

Ruled out: orders by entries, since several machines would order one endpoint.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/commands.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/commands.py
@@ -1,8 +1,14 @@
 """Command line of the agent daemon."""
 
+import asyncio
+
 from ebonyglade_agent.service import Agent
 from ebonyglade_agent.settings import AgentSettings
-from ebonyglade_node.commands import NodeCommands, run_program
+from ebonyglade_agent.staging.service import Staging
+from ebonyglade_agent.staging.settings import StagingSettings
+from ebonyglade_node import logs
+from ebonyglade_node.commands import NodeCommands, run_program, serve
+from ebonyglade_node.settings import load
 
 
 class Commands(NodeCommands):
@@ -11,6 +17,16 @@
     _settings_model = AgentSettings
     _service = Agent
 
+    def stage(self, settings: str) -> None:
+        """Run an agent that orders its endpoint and carries no requests.
+
+        Args:
+            settings: path of the TOML settings file.
+        """
+        loaded = load(settings, StagingSettings)
+        logs.configure(loaded.logs, loaded.instance.name)
+        asyncio.run(serve(Staging(loaded)))
+
 
 def main() -> None:
     """Run the command line."""
--- /dev/null
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/__init__.py
@@ -0,0 +1,1 @@
+"""The agent where entries call endpoints directly."""
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -5,6 +5,7 @@
 from mode import Service
 
 from ebonyglade.forward.entry import ForwardEntry, ForwardTerms
+from ebonyglade.forward.rates import RateTerms
 from ebonyglade_entry.forwarding.server import ForwardServer
 from ebonyglade_entry.forwarding.settings import ForwardSettings
 from ebonyglade_node.forward_node import ForwardNode
@@ -34,6 +35,11 @@
         terms = ForwardTerms(
             key_age_s=revoke_s - KEY_MARGIN_S if bounds.fail_closed else None,
             budget=bounds.budget(),
+            rates=RateTerms(
+                bounds.rate_overage,
+                bounds.rate_slack,
+                self._settings.instance.first_start,
+            ),
         )
         self.entry = ForwardEntry(
             self.node.context,
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
@@ -22,12 +22,14 @@
         address: where other processes reach it, "tcp://IP:port".
         zone: its availability zone.
         region: region of the zone.
+        first_start: whether the whole fleet starts for the first time.
     """
 
     name: str
     address: str
     zone: str
     region: str = ""
+    first_start: bool = False
 
     @field_validator("address")
     @classmethod
@@ -65,6 +67,8 @@
         repeat_ratio: requests sent once more, for each request.
         repeat_window_s: span in which both are counted.
         repeat_slack: requests sent once more that are granted besides.
+        rate_overage: part of a workspace's rate and burst that may be exceeded.
+        rate_slack: tokens that may be exceeded besides, in any window.
         grace_s: time between SIGTERM and SIGKILL.
         lease_ms: time for which an order's holder counts as its holder.
     """
@@ -74,6 +78,8 @@
     repeat_ratio: float = Field(default=0.1, ge=0)
     repeat_window_s: float = Field(default=10.0, gt=0)
     repeat_slack: float = Field(default=0.0, ge=0)
+    rate_overage: float = Field(default=0.0, ge=0)
+    rate_slack: float = Field(default=0.0, ge=0)
     grace_s: float = Field(default=8.0, gt=0)
     lease_ms: int = Field(default=3000, gt=0)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -1,5 +1,6 @@
 """The entry's decisions on forwarded requests, composed; without any I/O."""
 
+import asyncio
 import logging
 import random
 from collections.abc import Awaitable, Callable
@@ -7,7 +8,7 @@
 
 from result import Err
 
-from ebonyglade.audit import AuditTrail
+from ebonyglade.audit import AuditRecord, AuditTrail
 from ebonyglade.context import Context
 from ebonyglade.forward import table as tables
 from ebonyglade.forward.adapter import Adapter
@@ -21,7 +22,7 @@
 from ebonyglade.forward.loads import Loads
 from ebonyglade.forward.members import Member, Members
 from ebonyglade.forward.plain import PlainDispatcher
-from ebonyglade.forward.rates import FleetRates
+from ebonyglade.forward.rates import FleetRates, RateTerms
 from ebonyglade.forward.types import Workspace
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.fleet import Beat
@@ -30,6 +31,7 @@
 
 DEFAULT_DEADLINE_S = 30.0  # of a caller that does not say how long it waits
 KEEP_S = 1.0  # between two clean-ups
+RATE_WAIT_S = 0.3  # longest wait for tokens of the workspace's rate
 
 Proceed = Callable[[ForwardCall], Awaitable[Reply]]
 Step = Callable[[ForwardCall], Refusal | None]
@@ -43,10 +45,12 @@
         key_age_s: age of the configuration at which keys are no longer taken
             on its word; None if they always are.
         budget: bound on repeats.
+        rates: what is granted above rates and bursts.
     """
 
     key_age_s: float | None
     budget: BudgetTerms
+    rates: RateTerms = RateTerms()
 
 
 class ForwardEntry:
@@ -62,10 +66,10 @@
     ) -> None:
         self.context = context
         self.terms = terms
-        self.audit = AuditTrail(context.wall, listener=_log_change)
+        self.audit = AuditTrail(context.wall, listener=log_change)
         self.belief = Belief(adapter, context.clock, self.audit)
         self.copies = Copies(context, self.belief)
-        self.rates = FleetRates()
+        self.rates = FleetRates(terms.rates)
         self.crashes = Crashes()
         self.loads = Loads()
         self.members = Members(context, seeds, self._compose)
@@ -110,7 +114,7 @@
 
     async def run(self, call: ForwardCall) -> Reply:
         """Admit a request, send it, and return its answer or a refusal."""
-        refusal = self.admit(call)
+        refusal = await self._admitted(call)
         if refusal is not None:
             return Err(refusal)
         call.may_send = lambda: self._may_send(call)
@@ -121,6 +125,18 @@
             self._refund(call)
         return reply
 
+    async def _admitted(self, call: ForwardCall) -> Refusal | None:
+        """Admit a request; one that lacks few tokens waits for them."""
+        until = call.arrived + RATE_WAIT_S
+        refusal = self.admit(call)
+        while refusal is not None and refusal.code == "rate_exceeded":
+            now = self.context.clock()
+            if now + refusal.retry_after > until:
+                break
+            await asyncio.sleep(refusal.retry_after)
+            refusal = self._take_tokens(call)
+        return refusal
+
     def admit(self, call: ForwardCall) -> Refusal | None:
         """Return why a request is refused, or None after filling in the call."""
         for step in self._steps:
@@ -239,7 +255,8 @@
     return float(prompt.prompt_tokens + prompt.max_tokens)
 
 
-def _log_change(record) -> None:
+def log_change(record: AuditRecord) -> None:
+    """Log a change of what the process knows of the store."""
     logger.info(
         "store change",
         extra={
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/keeper.py
@@ -0,0 +1,109 @@
+"""The agent's decisions beside a model endpoint that entries call directly.
+
+It alone orders its endpoint, and tells entries how much memory is free there.
+"""
+
+import logging
+from dataclasses import dataclass
+
+from ebonyglade.audit import AuditTrail
+from ebonyglade.context import Context
+from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.belief import Belief
+from ebonyglade.forward.copies import Copies
+from ebonyglade.forward.members import Members
+from ebonyglade.forward.stages import MISSING_S, SETTLED_S, Wanted, wanted_change
+from ebonyglade.forward.types import Endpoint, EngineReport, Stage
+from ebonyglade.wire.fleet import Beat, EngineState
+
+logger = logging.getLogger(__name__)
+
+# An order rests on a list that was confirmed within this time.
+LIST_AGE_S = 2.5
+WAIT_S = {Stage.DECODE: SETTLED_S, Stage.PREFILL: MISSING_S}
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order to the endpoint beside this agent.
+
+    Attributes:
+        stage: what it is to do.
+        fence: fencing number; the store's revision, which never falls and
+            outlives restarts of this process.
+        expected: orders that the endpoint has accepted so far.
+    """
+
+    stage: Stage
+    fence: int
+    expected: int
+
+
+class Keeper:
+    """Decides what the endpoint beside an agent is to do."""
+
+    def __init__(
+        self,
+        context: Context,
+        adapter: Adapter,
+        address: str,
+        seeds: tuple[str, ...],
+        audit: AuditTrail,
+    ) -> None:
+        self.context = context
+        self.belief = Belief(adapter, context.clock, audit)
+        self.copies = Copies(context, self.belief)
+        self.members = Members(context, seeds, self._compose)
+        self._address = address
+        self._report: EngineReport | None = None
+        self._reported_at = 0.0
+        self._wanted: Wanted | None = None
+        self._wanted_since = 0.0
+
+    def start(self) -> None:
+        """Join the fleet."""
+        self.copies.start()
+        self.members.on_beat.append(self.copies.on_beat)
+        self.members.start()
+
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """The endpoint beside this agent, as the store lists it."""
+        listed = self.belief.roster.endpoints.values()
+        return next((item for item in listed if item.address == self._address), None)
+
+    def reported(self, report: EngineReport) -> Order | None:
+        """Take the endpoint's state; return the order to give now, if any."""
+        now = self.context.clock()
+        self._report, self._reported_at = report, now
+        mine = self.endpoint
+        if mine is None or mine.leaving or self.belief.age(now) > LIST_AGE_S:
+            return None
+        wanted = wanted_change(self.belief.roster.of(mine.service))
+        if wanted != self._wanted:
+            self._wanted, self._wanted_since = wanted, now
+        if wanted is None or wanted.endpoint != mine.id or report.busy:
+            return None
+        if report.stage is wanted.stage:
+            return None
+        if now - self._wanted_since < WAIT_S[wanted.stage]:
+            return None
+        return Order(wanted.stage, self.belief.as_of, report.orders)
+
+    def _compose(self) -> Beat:
+        now = self.context.clock()
+        return Beat(
+            sent_at=now,
+            zone=self.context.me.zone,
+            members=self.members.known(now),
+            store=self.copies.state(),
+            engine=self._state(now),
+        )
+
+    def _state(self, now: float) -> EngineState | None:
+        report, mine = self._report, self.endpoint
+        if report is None or mine is None:
+            return None
+        free = report.memory_total - report.memory_used - report.held
+        age = round(now - self._reported_at, 3)
+        return EngineState(mine.id, free, report.running, report.waiting, age)
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -15,7 +15,37 @@
 from ebonyglade.forward.types import Workspace
 
 SILENT_S = 1.0  # after its last beat an entry counts as spending its part
-START_LEVEL = 0.5  # part of the burst that a process starts with
+# Part of the burst that a process starts with, when others may have spent.
+START_PART = 0.5
+# Parts of the published overage and slack that the bucket uses. The rest covers
+# what entries admit between two beats.
+USED_OVERAGE = 0.8
+USED_SLACK = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class RateTerms:
+    """What the platform grants above a workspace's rate and burst.
+
+    Attributes:
+        overage: part of rate and burst that may be exceeded.
+        slack: tokens, besides, in any window.
+        first_start: whether the whole fleet starts now, so that nobody can have
+            spent anything.
+    """
+
+    overage: float = 0.0
+    slack: float = 0.0
+    first_start: bool = False
+
+    def rate(self, workspace: Workspace) -> float:
+        """Return the tokens a second that a bucket gets."""
+        return workspace.rate * (1 + USED_OVERAGE * self.overage)
+
+    def burst(self, workspace: Workspace) -> float:
+        """Return the tokens that a bucket holds."""
+        over = workspace.burst * (1 + USED_OVERAGE * self.overage)
+        return over + USED_SLACK * self.slack
 
 
 @dataclass(slots=True)
@@ -47,6 +77,7 @@
 class FleetRates:
     """Buckets of all workspaces, as this entry sees them."""
 
+    terms: RateTerms = RateTerms()
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
     _others: dict[str, _Other] = field(default_factory=dict)
     _spent: dict[str, float] = field(default_factory=dict)
@@ -67,9 +98,9 @@
             return 0.0
         bucket = self._bucket(workspace, now)
         # A request above the burst needs a full bucket and leaves a debt.
-        missing = min(cost, workspace.burst) - bucket.level
+        missing = min(cost, self.terms.burst(workspace)) - bucket.level
         if missing > 0:
-            return max(missing / workspace.rate, 0.001)
+            return max(missing / self.terms.rate(workspace), 0.001)
         self._charge(workspace.name, cost)
         return 0.0
 
@@ -111,19 +142,20 @@
         self._spent[name] = self._spent.get(name, 0.0) + cost
 
     def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
+        rate, burst = self.terms.rate(workspace), self.terms.burst(workspace)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(START_LEVEL * workspace.burst, now)
-            self._buckets[workspace.name] = bucket
+            part = 1.0 if self.terms.first_start else START_PART
+            bucket = self._buckets[workspace.name] = _Bucket(part * burst, now)
         elapsed = max(0.0, now - bucket.at)
         bucket.at = now
-        part = workspace.rate / (1 + len(self._others))
-        bucket.level += workspace.rate * elapsed
+        part = rate / (1 + len(self._others))
+        bucket.level += rate * elapsed
         for other in self._others.values():
             if now - other.heard > SILENT_S:
                 assumed = part * elapsed
                 bucket.level -= assumed
                 known = other.assumed.get(workspace.name, 0.0)
                 other.assumed[workspace.name] = known + assumed
-        bucket.level = min(bucket.level, workspace.burst)
+        bucket.level = min(bucket.level, burst)
         return bucket
