Let agents give room by the peak of their runs' memory

Waiting was in order of arrival, so under overload every stream was late.

Change: the agent beside an endpoint keeps all its runs and gives room if the most that they will need together fits; entries ask it before they reserve. Requests that can still be on time go first, workspaces by what they got for their rate. Planned stops close idle connections and refuse what comes after.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -55,6 +55,19 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def close_idle(self) -> None:
+        """Close callers' connections, those under way after their answer."""
+        for handler in list(self._runners[0].server.connections):
+            handler.close()
+
+    async def drain(self) -> None:
+        """Leave the balancer, then close the door, then finish what is open."""
+        leaving = asyncio.get_running_loop().call_later(LEAVE_S, self.close_idle)
+        try:
+            await self.doorkeeper.drain()
+        finally:
+            leaving.cancel()
+
     async def _open(self, app: web.Application, address: str) -> None:
         runner = web.AppRunner(
             app,
@@ -137,6 +150,8 @@
             return Err(refuse("headers_too_large"))
         if (request.content_length or 0) > limits.body_bytes:
             return Err(refuse("body_too_large"))
+        if self.doorkeeper.door is Door.CLOSED:
+            return Err(refuse("stopping"))
         if self.doorkeeper.open_requests > self._section.max_requests:
             return Err(refuse("overloaded"))
         body = await _body(request, limits.body_bytes)
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -63,6 +63,6 @@
     async def drain(self) -> None:
         """Leave the balancer and finish what is under way."""
         logger.info("stopping", extra={"open": self.server.doorkeeper.open_requests})
-        await self.server.doorkeeper.drain()
+        await self.server.drain()
         self.entry.members.farewell()
         logger.info("stopped")
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -23,6 +23,7 @@
 from ebonyglade.forward.members import Member, Members
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rates import FleetRates, RateTerms
+from ebonyglade.forward.rooms import Rooms
 from ebonyglade.forward.types import Workspace
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.fleet import Beat
@@ -87,7 +88,8 @@
             count=context.count,
         )
         self.plain = PlainDispatcher(self.desk)
-        self.generation = GenerationDispatcher(self.desk)
+        self.rooms = Rooms(context)
+        self.generation = GenerationDispatcher(self.desk, self.rooms)
         # In this order; the first one that refuses ends the request.
         self._steps: tuple[Step, ...] = (
             self._check_belief,
@@ -101,7 +103,12 @@
     def start(self) -> None:
         """Join the fleet."""
         self.copies.start()
-        self.members.on_beat += [self.copies.on_beat, self._on_beat]
+        self.rooms.start()
+        self.members.on_beat += [
+            self.copies.on_beat,
+            self.rooms.on_beat,
+            self._on_beat,
+        ]
         self.members.on_gone.append(self._on_gone)
         self.members.start()
         self.context.every(KEEP_S, self._keep)
@@ -244,6 +251,7 @@
         listed = self.belief.roster.endpoints
         self.loads.keep(listed)
         self.generation.book.keep(listed)
+        self.rooms.keep(set(listed))
 
 
 def _cost(call: ForwardCall, workspace: Workspace) -> float:
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections import defaultdict
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
 
@@ -21,7 +20,8 @@
 from ebonyglade.forward.desk import LEAST_S, Desk, read_whole
 from ebonyglade.forward.events import EventCutter
 from ebonyglade.forward.line import Line
-from ebonyglade.forward.memory import MemoryBook, reservation
+from ebonyglade.forward.memory import MemoryBook, expected_answer, reservation
+from ebonyglade.forward.rooms import Rooms
 from ebonyglade.forward.types import Endpoint, Prefilled, Stage
 from ebonyglade.verdict import Refusal, Verdict, refuse, worst
 
@@ -30,8 +30,9 @@
 CONTROL_S = 0.5  # a call that runs nothing is answered within this time
 PREFILL_S = 1.5  # a prefill that takes longer is given up
 ASK_S = 0.06  # between two looks for memory while a request waits
-HOLD_MARGIN_S = 0.3  # a reservation is renewed this long before it ends
-PATIENCE_S = 3.0  # a request that has waited so long is refused
+FIRST_TOKEN_S = 0.25  # from having room to the first event
+FIRST_TOKENS = 256  # of the answer that are reserved with the prompt
+PATIENCE_S = 2.2  # a request that has waited so long is refused
 FIRST_EVENT_S = 4.0  # a stream without a first event for so long is given up
 SILENT_S = 1.0  # a stream that may go on elsewhere is moved after this pause
 PROMPT_ATTEMPTS = 2  # prefills before the decode endpoint reads the prompt itself
@@ -67,13 +68,47 @@
         return f"{self.endpoint.address}/{self.prefilled.handle}"
 
 
+@dataclass(slots=True)
+class _StreamAccount:
+    """How a stream went, for its log line."""
+
+    began: float
+    last: float
+    longest_gap: float = 0.0
+    parts: int = 1
+    whole: bool = False
+
+    def passed(self, now: float) -> None:
+        """Note that events were passed on."""
+        self.longest_gap = max(self.longest_gap, now - self.last)
+        self.last = now
+        self.parts += 1
+
+    def log(self, call: ForwardCall, room: Room) -> None:
+        """Write the line."""
+        logger.info(
+            "stream ended",
+            extra={
+                "request": call.id,
+                "endpoint": room.endpoint.id,
+                "first_after": round(self.began - call.arrived, 3),
+                "seconds": round(self.last - self.began, 3),
+                "longest_gap": round(self.longest_gap, 3),
+                "parts": self.parts,
+                "whole": self.whole,
+            },
+        )
+
+
 @dataclass(slots=True)
 class GenerationDispatcher:
     """Sends requests of model services to prefill and decode endpoints."""
 
     desk: Desk
+    rooms: Rooms
     book: MemoryBook = field(default_factory=MemoryBook)
-    _lines: dict[str, Line] = field(default_factory=lambda: defaultdict(Line))
+    _lines: dict[str, Line] = field(default_factory=dict)
+    _longest_wait: dict[str, float] = field(default_factory=dict)
     _background: set[asyncio.Task] = field(default_factory=set)
 
     async def run(self, call: ForwardCall) -> Reply:
@@ -109,17 +144,20 @@
     ) -> Result[Room, Refusal]:
         """Wait in line for memory at a decode endpoint."""
         desk = self.desk
-        line = self._lines[call.service.name]
+        line = self._line(call.service.name)
         give_up = min(call.arrived + PATIENCE_S, call.deadline - LEAST_S)
         tokens = reservation(call.facts.prompt, call.service)
         try:
             async with asyncio.timeout(max(0.0, give_up - desk.clock())):
-                async with line.turn(call.priority):
-                    while True:
-                        room = await self._ask_all(call, tokens, excluded)
-                        if room is not None:
-                            return Ok(room)
-                        await line.pause(ASK_S)
+                room = await line.wait(
+                    call.priority,
+                    call.workspace_name,
+                    call.workspace.rate if call.workspace else 0.0,
+                    tokens,
+                    self._on_time_until(call),
+                    lambda: self._ask_all(call, tokens, excluded),
+                )
+                return Ok(room)
         except TimeoutError:
             listed = desk.belief.roster.of(call.service.name, Stage.DECODE)
             code = "overloaded" if listed else "no_endpoint"
@@ -135,6 +173,23 @@
             )
             return Err(refuse(code, retry_after=RETRY_AFTER_S))
 
+    def _line(self, service: str) -> Line:
+        if service not in self._lines:
+            self._lines[service] = Line(self.desk.clock, ASK_S)
+        return self._lines[service]
+
+    def _on_time_until(self, call: ForwardCall) -> float:
+        """Return when a request must have room to be answered on time.
+
+        A caller that comes back after a refusal has less time left than it had,
+        and was waiting all the while.
+        """
+        waits = call.facts.deadline_s or 0.0
+        longest = max(waits, self._longest_wait.get(call.route.name, 0.0))
+        self._longest_wait[call.route.name] = longest
+        on_time = call.route.target_s - FIRST_TOKEN_S
+        return call.arrived + on_time - (longest - waits)
+
     async def _ask_all(
         self, call: ForwardCall, tokens: int, excluded: set[str]
     ) -> Room | None:
@@ -143,12 +198,51 @@
         ejected = desk.loads.ejections.active(desk.clock())
         usable = [item for item in listed if item.id not in excluded | ejected]
         for endpoint in self.book.order(usable, desk.clock()):
-            hold = await self._take_hold(call, endpoint, tokens)
-            if hold is not None:
-                self.book.taken(endpoint.id, tokens)
-                return Room(endpoint, hold, tokens)
+            room = await self._ask_at(call, endpoint, tokens)
+            if room is not None:
+                self.book.taken(endpoint.id, room.tokens)
+                self._log_room(call, room)
+                return room
+            self.book.full(endpoint.id, desk.clock())
         return None
 
+    async def _ask_at(
+        self, call: ForwardCall, endpoint: Endpoint, tokens: int
+    ) -> Room | None:
+        """Ask the agent beside an endpoint for room, then the endpoint itself."""
+        prompt = call.facts.prompt
+        agent = self.rooms.has_agent(endpoint.id)
+        if agent:
+            answer = await self.rooms.ask(
+                endpoint.id, call.id, prompt.prompt_tokens, expected_answer(prompt)
+            )
+            if answer is None or not answer.granted:
+                return None
+            # The agent looked at the whole life of the run.
+            tokens = prompt.prompt_tokens + FIRST_TOKENS
+        hold = await self._take_hold(call, endpoint, tokens)
+        if hold is None:
+            if agent:
+                self.rooms.drop(endpoint.id, call.id)
+            return None
+        return Room(endpoint, hold, tokens)
+
+    def _log_room(self, call: ForwardCall, room: Room) -> None:
+        desk = self.desk
+        now = desk.clock()
+        logger.info(
+            "memory reserved",
+            extra={
+                "request": call.id,
+                "endpoint": room.endpoint.id,
+                "tokens": room.tokens,
+                "expected": expected_answer(call.facts.prompt),
+                "waited": round(now - call.arrived, 3),
+                "store_revision": desk.belief.as_of,
+                "store_age": round(desk.belief.age(now), 3),
+            },
+        )
+
     async def _take_hold(
         self, call: ForwardCall, endpoint: Endpoint, tokens: int
     ) -> str | None:
@@ -167,7 +261,6 @@
         status, body = answer.ok_value
         if status != 200:
             desk.count("holds_refused")
-            self.book.full(endpoint.id, desk.clock())
             return None
         try:
             return desk.adapter.decode_hold(body)
@@ -188,6 +281,7 @@
         finally:
             if not used:
                 self._release(room)
+                self.rooms.drop(room.endpoint.id, call.id)
                 if source is not None:
                     self._free(source)
 
@@ -299,6 +393,8 @@
         cutter: EventCutter,
         first: bytes,
     ) -> AsyncIterator[bytes]:
+        clock = self.desk.clock
+        account = _StreamAccount(clock(), clock())
         try:
             yield first
             async with asyncio.timeout(max(0.0, self.desk.left(call))):
@@ -306,18 +402,22 @@
                     events = await _next_events(answer, cutter)
                     if not events:
                         break
+                    account.passed(clock())
                     yield events
             if cutter.rest:
                 yield cutter.rest
+            account.whole = True
         except TimeoutError as error:
             raise BrokenOff("the deadline passed") from error
         finally:
             answer.close()
             self._ended(call, room)
+            account.log(call, room)
 
     def _ended(self, call: ForwardCall, room: Room) -> None:
         self.desk.loads.ended(room.endpoint.id)
         self.book.given_back(room.endpoint.id, room.tokens)
+        self.rooms.drop(room.endpoint.id, call.id)
         self.freed(call.service.name)
 
     def _release(self, room: Room, listed: bool = True) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/keeper.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/keeper.py
@@ -12,14 +12,23 @@
 from ebonyglade.forward.belief import Belief
 from ebonyglade.forward.copies import Copies
 from ebonyglade.forward.members import Members
+from ebonyglade.forward.room import RoomBook
 from ebonyglade.forward.stages import MISSING_S, SETTLED_S, Wanted, wanted_change
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage
-from ebonyglade.wire.fleet import Beat, EngineState
+from ebonyglade.ports import Sender
+from ebonyglade.wire.fleet import (
+    Beat,
+    EngineState,
+    RoomAnswer,
+    RoomAsk,
+    RoomDrop,
+)
 
 logger = logging.getLogger(__name__)
 
 # An order rests on a list that was confirmed within this time.
 LIST_AGE_S = 2.5
+REPORT_AGE_S = 1.0  # room is given on a report that is younger
 WAIT_S = {Stage.DECODE: SETTLED_S, Stage.PREFILL: MISSING_S}
 
 
@@ -59,12 +68,14 @@
         self._reported_at = 0.0
         self._wanted: Wanted | None = None
         self._wanted_since = 0.0
+        self._room = RoomBook()
 
     def start(self) -> None:
         """Join the fleet."""
         self.copies.start()
         self.members.on_beat.append(self.copies.on_beat)
         self.members.start()
+        self.context.handle({RoomAsk: self._on_ask, RoomDrop: self._on_drop})
 
     @property
     def endpoint(self) -> Endpoint | None:
@@ -75,7 +86,10 @@
     def reported(self, report: EngineReport) -> Order | None:
         """Take the endpoint's state; return the order to give now, if any."""
         now = self.context.clock()
+        if self._report is not None and report.born_ms != self._report.born_ms:
+            self._room.clear()
         self._report, self._reported_at = report, now
+        self._room.reported(report.runs, report.memory_used, report.memory_total, now)
         mine = self.endpoint
         if mine is None or mine.leaving or self.belief.age(now) > LIST_AGE_S:
             return None
@@ -104,6 +118,35 @@
         report, mine = self._report, self.endpoint
         if report is None or mine is None:
             return None
-        free = report.memory_total - report.memory_used - report.held
         age = round(now - self._reported_at, 3)
-        return EngineState(mine.id, free, report.running, report.waiting, age)
+        return EngineState(
+            mine.id, self._room.free(), len(self._room), report.waiting, age
+        )
+
+    def _on_ask(self, sender: Sender, ask: RoomAsk) -> None:
+        now = self.context.clock()
+        mine = self.endpoint
+        granted = False
+        if self._serves(mine, ask.endpoint, now):
+            self._room.slots = mine.slots
+            granted = self._room.ask(
+                ask.request, ask.prompt_tokens, ask.answer_tokens, now
+            )
+        self.context.count("rooms_granted" if granted else "rooms_refused")
+        self.context.transport.learn(sender.instance, sender.address)
+        self.context.send(sender.instance, RoomAnswer(ask.ask, granted))
+
+    def _serves(self, mine: Endpoint | None, asked: str, now: float) -> bool:
+        report = self._report
+        return (
+            mine is not None
+            and mine.id == asked
+            and not mine.leaving
+            and report is not None
+            and report.stage is Stage.DECODE
+            and not report.busy
+            and now - self._reported_at < REPORT_AGE_S
+        )
+
+    def _on_drop(self, sender: Sender, drop: RoomDrop) -> None:
+        self._room.drop(drop.request)
--- a/packages/ebonyglade/src/ebonyglade/forward/line.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/line.py
@@ -1,63 +1,155 @@
-"""Who goes first where model requests wait for memory."""
+"""Who goes first where model requests wait for room.
+
+Requests that can still be answered on time go before those that can't. Among
+them workspaces take turns by what they got lately for their rate, so that one
+that sends many times its usual load waits behind the others.
+"""
 
 import asyncio
-import heapq
-import itertools
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
+
+from ebonyglade.ports import Clock
+
+Grant = TypeVar("Grant")
+
+HALF_LIFE_S = 4.0  # what a workspace got counts half after this time
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """One request in line.
 
+    Attributes:
+        priority: rank, where 0 is the most urgent.
+        workspace: on whose behalf.
+        share: what its workspace gets compared with others, such as its rate.
+        tokens: what it asks for.
+        on_time_until: when it must have room to be answered on time.
+        order: place by arrival.
+        ask: asks for room; returns it, or None.
+        done: the room.
+    """
 
-@dataclass(order=True, slots=True)
-class _Place:
     priority: int
+    workspace: str
+    share: float
+    tokens: int
+    on_time_until: float
     order: int
-    called: asyncio.Event = field(compare=False, default_factory=asyncio.Event)
-    left: bool = field(compare=False, default=False)
+    ask: Callable[[], Awaitable[object | None]]
+    done: asyncio.Future
+
+
+@dataclass(slots=True)
+class _Usage:
+    """What a workspace got, fading with time."""
+
+    got: float = 0.0
+    at: float = 0.0
+
+    def now(self, now: float) -> float:
+        return self.got * 0.5 ** ((now - self.at) / HALF_LIFE_S)
+
+    def add(self, amount: float, now: float) -> None:
+        self.got, self.at = self.now(now) + amount, now
 
 
+@dataclass(slots=True)
 class Line:
-    """One request at a time asks for memory: the most urgent, then the oldest."""
+    """Requests of one service that wait for room.
 
-    def __init__(self) -> None:
-        self._places: list[_Place] = []
-        self._order = itertools.count()
-        self._freed = asyncio.Event()
+    Attributes:
+        clock: seconds.
+        pause_s: between two asks while there is none.
+    """
+
+    clock: Clock
+    pause_s: float
+    _waiting: list[Waiter] = field(default_factory=list)
+    _usage: dict[str, _Usage] = field(default_factory=lambda: defaultdict(_Usage))
+    _order: int = 0
+    _freed: asyncio.Event = field(default_factory=asyncio.Event)
+    _pump: asyncio.Task | None = None
 
     def __len__(self) -> int:
-        return sum(not place.left for place in self._places)
-
-    @asynccontextmanager
-    async def turn(self, priority: int) -> AsyncIterator[None]:
-        """Wait for a request's turn, and hold it until the block is left."""
-        place = _Place(priority, next(self._order))
-        heapq.heappush(self._places, place)
-        self._call_first()
+        return len(self._waiting)
+
+    async def wait(
+        self,
+        priority: int,
+        workspace: str,
+        share: float,
+        tokens: int,
+        on_time_until: float,
+        ask: Callable[[], Awaitable[Grant | None]],
+    ) -> Grant:
+        """Return the room that `ask` got when it was this request's turn."""
+        self._order += 1
+        done = asyncio.get_running_loop().create_future()
+        waiter = Waiter(
+            priority, workspace, share, tokens, on_time_until, self._order, ask, done
+        )
+        self._waiting.append(waiter)
+        if self._pump is None or self._pump.done():
+            self._pump = asyncio.ensure_future(self._run())
+        self._freed.set()
         try:
-            await place.called.wait()
-            yield
+            return await done
         finally:
-            place.left = True
-            self._call_first()
+            self._leave(waiter)
 
     def freed(self) -> None:
-        """Tell the first in line that memory may be free."""
+        """Tell that there may be room."""
         self._freed.set()
 
-    async def pause(self, longest: float) -> None:
-        """Wait until memory may be free, at most so many seconds."""
-        self._freed.clear()
+    def first(self) -> Waiter | None:
+        """Return whose turn it is."""
+        now = self.clock()
+        return min(self._waiting, key=lambda item: self._rank(item, now), default=None)
+
+    def _rank(self, waiter: Waiter, now: float) -> tuple:
+        late = now > waiter.on_time_until
+        used = self._usage[waiter.workspace].now(now) / max(waiter.share, 1.0)
+        return waiter.priority, late, 0.0 if late else used, waiter.order
+
+    async def _run(self) -> None:
+        while self._waiting:
+            self._freed.clear()
+            if not await self._asked(self.first()):
+                await self._pause()
+
+    async def _asked(self, waiter: Waiter) -> bool:
+        """Ask for the first in line; False if there is no room."""
+        asking = asyncio.ensure_future(waiter.ask())
+        # One that leaves does not keep the others waiting. Room that it got at
+        # that moment lapses.
+        waiter.done.add_done_callback(lambda _: asking.cancel())
+        await asyncio.wait([asking])
+        if asking.cancelled() or waiter.done.done():
+            return True
+        error = asking.exception()
+        if error is not None:
+            self._leave(waiter)
+            waiter.done.set_exception(error)
+            return True
+        room = asking.result()
+        if room is None:
+            return False
+        self._leave(waiter)
+        self._usage[waiter.workspace].add(waiter.tokens, self.clock())
+        waiter.done.set_result(room)
+        return True
+
+    def _leave(self, waiter: Waiter) -> None:
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+
+    async def _pause(self) -> None:
         try:
-            async with asyncio.timeout(longest):
+            async with asyncio.timeout(self.pause_s):
                 await self._freed.wait()
         except TimeoutError:
             return
-
-    def _call_first(self) -> None:
-        while self._places and self._places[0].left:
-            heapq.heappop(self._places)
-        if self._places and not any(item.called.is_set() for item in self._live()):
-            self._places[0].called.set()
-
-    def _live(self) -> list[_Place]:
-        return [place for place in self._places if not place.left]
--- a/packages/ebonyglade/src/ebonyglade/forward/memory.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/memory.py
@@ -8,7 +8,7 @@
 
 # Part of the expected answer that is reserved with the prompt. Runs that began
 # earlier end earlier and free their memory while this one grows.
-ANSWER_PART = 0.5
+ANSWER_PART = 0.8
 # Part of the most tokens that is expected where the caller gives no estimate.
 UNHINTED_PART = 0.5
 FULL_S = 0.1  # an endpoint that had no room is asked again after this time
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -290,6 +290,19 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class RunState:
+    """One request that a model endpoint runs.
+
+    Attributes:
+        request: id of the request.
+        tokens: its tokens in memory, prompt and answer.
+    """
+
+    request: str
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """State of a model endpoint.
@@ -303,6 +316,7 @@
         memory_used: tokens of memory that can't be freed.
         memory_total: tokens of memory.
         held: tokens reserved.
+        runs: what it runs.
         born_ms: Unix milliseconds of its start.
     """
 
@@ -314,6 +328,7 @@
     memory_used: int
     memory_total: int
     held: int = 0
+    runs: tuple[RunState, ...] = ()
     born_ms: int = 0
 
 
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -116,4 +116,42 @@
     """The sender is about to end and spends nothing more."""
 
 
-MESSAGES = (Beat, CopyAsk, CopyAnswer, Farewell)
+class RoomAsk(Message):
+    """Asks the agent beside a model endpoint for room for one request.
+
+    Attributes:
+        ask: id of the ask, echoed in the answer.
+        endpoint: id of the endpoint that is meant.
+        request: id of the request.
+        prompt_tokens: tokens to read.
+        answer_tokens: tokens that its answer is expected to have.
+    """
+
+    ask: str
+    endpoint: str
+    request: str
+    prompt_tokens: int
+    answer_tokens: int
+
+
+class RoomAnswer(Message):
+    """The agent's answer; what it granted lapses if the request does not come.
+
+    Attributes:
+        ask: id of the ask.
+        granted: whether there is room.
+        wait_s: seconds until room is expected, if there is none.
+    """
+
+    ask: str
+    granted: bool
+    wait_s: float = 0.0
+
+
+class RoomDrop(Message):
+    """Gives room back that was granted and is not needed any more."""
+
+    request: str
+
+
+MESSAGES = (Beat, CopyAsk, CopyAnswer, Farewell, RoomAsk, RoomAnswer, RoomDrop)
