Drop endpoints replaced at their address, and read one prompt at a time where they decode

Cause: while no prefill endpoint answers, decode endpoints read prompts themselves, and two in a row hold up the streams beside them for over 300 ms. And an agent took the entry of a crashed process at its endpoint's address for its own and ordered the new process away from prefill.

Change: turns for reading, given by the agent; a listed endpoint replaces an older one at its address; an agent orders only the process that the list shows.

--- a/packages/ebonyglade/src/ebonyglade/forward/belief.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/belief.py
@@ -149,11 +149,27 @@
             self.roster.endpoints.pop(name, None)
             return
         self._lapsed.pop(name, None)
+        if self._is_replaced(endpoint):
+            return
         self.roster.endpoints[name] = endpoint
         if known is None or known.leaving != endpoint.leaving:
             state = "leaving" if endpoint.leaving else "listed"
             self.audit.add(item.path, item.revision, Outcome.ACCEPTED, reason=state)
 
+    def _is_replaced(self, endpoint: Endpoint) -> bool:
+        """Drop what ran at the same address before; True if this one did.
+
+        The entry of an endpoint that crashed stays for some seconds, while its
+        next process is listed at the same address already.
+        """
+        for name, other in list(self.roster.endpoints.items()):
+            if other.address != endpoint.address or name == endpoint.id:
+                continue
+            if other.born_ms > endpoint.born_ms:
+                return True
+            self._drop(name, "replaced at its address")
+        return False
+
     def _unlist(self, name: str, known: Endpoint | None, revision: int) -> None:
         now = self.clock()
         until = self._outage_ended_at + LAPSE_S
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -30,6 +30,8 @@
 CONTROL_S = 0.5  # a call that runs nothing is answered within this time
 PREFILL_S = 1.5  # a prefill that takes longer is given up
 ASK_S = 0.06  # between two looks for memory while a request waits
+TURN_WAIT_S = 1.4  # a reservation must not lapse while its request waits
+TURN_ASK_S = 0.04  # between two asks for the turn to have a prompt read
 FIRST_TOKEN_S = 0.25  # from having room to the first event
 FIRST_TOKENS = 256  # of the answer that are reserved with the prompt
 PATIENCE_S = 2.2  # a request that has waited so long is refused
@@ -274,6 +276,8 @@
         used = False
         try:
             source = await self._prefill(call)
+            if source is None:
+                await self._await_turn(call, room)
             if self.desk.left(call) <= LEAST_S:
                 return Err(Failure(Trouble.NOT_SENT, "no time left"))
             used = True
@@ -285,6 +289,15 @@
                 if source is not None:
                     self._free(source)
 
+    async def _await_turn(self, call: ForwardCall, room: Room) -> None:
+        """Wait until the decode endpoint may read the prompt itself."""
+        until = self.desk.clock() + TURN_WAIT_S
+        while not await self.rooms.turn(room.endpoint.id, call.id):
+            if self.desk.clock() >= until:
+                logger.info("no turn in time", extra={"request": call.id})
+                return
+            await asyncio.sleep(TURN_ASK_S)
+
     async def _prefill(self, call: ForwardCall) -> Source | None:
         """Have a prefill endpoint read the prompt; None if none did."""
         excluded: set[str] = set()
@@ -351,6 +364,8 @@
                         self._free(source)
                 return sent
             reply = await self._first(call, room, sent.ok_value)
+            if source is None:
+                self.rooms.turn_done(endpoint.id, call.id)
             kept = isinstance(reply, Ok) and isinstance(reply.ok_value, Stream)
             return reply
         finally:
--- a/packages/ebonyglade/src/ebonyglade/forward/keeper.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/keeper.py
@@ -12,7 +12,7 @@
 from ebonyglade.forward.belief import Belief
 from ebonyglade.forward.copies import Copies
 from ebonyglade.forward.members import Members
-from ebonyglade.forward.room import RoomBook
+from ebonyglade.forward.room import ReadingTurns, RoomBook
 from ebonyglade.forward.stages import MISSING_S, SETTLED_S, Wanted, wanted_change
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage
 from ebonyglade.ports import Sender
@@ -22,6 +22,8 @@
     RoomAnswer,
     RoomAsk,
     RoomDrop,
+    TurnAsk,
+    TurnDone,
 )
 
 logger = logging.getLogger(__name__)
@@ -69,13 +71,21 @@
         self._wanted: Wanted | None = None
         self._wanted_since = 0.0
         self._room = RoomBook()
+        self._turns = ReadingTurns()
 
     def start(self) -> None:
         """Join the fleet."""
         self.copies.start()
         self.members.on_beat.append(self.copies.on_beat)
         self.members.start()
-        self.context.handle({RoomAsk: self._on_ask, RoomDrop: self._on_drop})
+        self.context.handle(
+            {
+                RoomAsk: self._on_ask,
+                RoomDrop: self._on_drop,
+                TurnAsk: self._on_turn_ask,
+                TurnDone: self._on_turn_done,
+            }
+        )
 
     @property
     def endpoint(self) -> Endpoint | None:
@@ -98,6 +108,9 @@
             self._wanted, self._wanted_since = wanted, now
         if wanted is None or wanted.endpoint != mine.id or report.busy:
             return None
+        if report.born_ms != mine.born_ms:
+            # The list does not show the process that runs there now.
+            return None
         if report.stage is wanted.stage:
             return None
         if now - self._wanted_since < WAIT_S[wanted.stage]:
@@ -133,8 +146,18 @@
                 ask.request, ask.prompt_tokens, ask.answer_tokens, now
             )
         self.context.count("rooms_granted" if granted else "rooms_refused")
+        self._answer(sender, RoomAnswer(ask.ask, granted))
+
+    def _answer(self, sender: Sender, answer: RoomAnswer) -> None:
         self.context.transport.learn(sender.instance, sender.address)
-        self.context.send(sender.instance, RoomAnswer(ask.ask, granted))
+        self.context.send(sender.instance, answer)
+
+    def _on_turn_ask(self, sender: Sender, ask: TurnAsk) -> None:
+        granted = self._turns.ask(ask.request, self.context.clock())
+        self._answer(sender, RoomAnswer(ask.ask, granted))
+
+    def _on_turn_done(self, sender: Sender, done: TurnDone) -> None:
+        self._turns.done(done.request, self.context.clock())
 
     def _serves(self, mine: Endpoint | None, asked: str, now: float) -> bool:
         report = self._report
--- a/packages/ebonyglade/src/ebonyglade/forward/room.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/room.py
@@ -17,6 +17,9 @@
 UNKNOWN_ANSWER = 4000  # tokens of an answer that nobody estimated
 USED_PART = 0.97  # part of the memory that is given out
 LAPSE_S = 2.0  # a grant whose request does not come lapses after this time
+TURN_LAPSE_S = 1.0  # a reading turn that is not ended lapses after this time
+# Time for one event of each run between two prompts that the endpoint reads.
+TURN_PAUSE_S = 0.06
 UNSEEN_S = 0.6  # a run that the endpoint does not report for so long has ended
 
 
@@ -145,3 +148,27 @@
         ]
         for request in ended:
             del self._runs[request]
+
+
+@dataclass(slots=True)
+class ReadingTurns:
+    """One prompt at a time is read by a decode endpoint itself.
+
+    Reading a prompt holds up the events of all runs beside it. Two prompts in a
+    row hold them up for longer than callers take for on time.
+    """
+
+    _holder: str = ""
+    _until: float = 0.0
+
+    def ask(self, request: str, now: float) -> bool:
+        """Give a request the turn, unless another one has it."""
+        if self._holder != request and now < self._until:
+            return False
+        self._holder, self._until = request, now + TURN_LAPSE_S
+        return True
+
+    def done(self, request: str, now: float) -> None:
+        """End a turn; the next one begins after a pause."""
+        if self._holder == request:
+            self._until = now + TURN_PAUSE_S
--- a/packages/ebonyglade/src/ebonyglade/forward/rooms.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rooms.py
@@ -6,7 +6,14 @@
 from ebonyglade.context import Context
 from ebonyglade.forward.members import Member
 from ebonyglade.ports import Sender
-from ebonyglade.wire.fleet import Beat, RoomAnswer, RoomAsk, RoomDrop
+from ebonyglade.wire.fleet import (
+    Beat,
+    RoomAnswer,
+    RoomAsk,
+    RoomDrop,
+    TurnAsk,
+    TurnDone,
+)
 
 AGENT_S = 1.0  # an agent that was silent for so long is not asked
 ANSWER_S = 0.1  # an answer takes a round trip of a few milliseconds
@@ -52,6 +59,25 @@
     ) -> RoomAnswer | None:
         """Return the agent's answer; None if there is none in time."""
         ask = RoomAsk(self.context.new_id(), endpoint, request, prompt, answer)
+        return await self._answered(endpoint, ask)
+
+    async def turn(self, endpoint: str, request: str) -> bool:
+        """Return whether a prompt may be read now; True if nobody can tell."""
+        if not self.has_agent(endpoint):
+            return True
+        ask = TurnAsk(self.context.new_id(), request)
+        answer = await self._answered(endpoint, ask)
+        return answer is None or answer.granted
+
+    def turn_done(self, endpoint: str, request: str) -> None:
+        """Tell that a prompt was read."""
+        agent = self._agents.get(endpoint)
+        if agent is not None:
+            self.context.send(agent.address, TurnDone(request))
+
+    async def _answered(
+        self, endpoint: str, ask: RoomAsk | TurnAsk
+    ) -> RoomAnswer | None:
         future = asyncio.get_running_loop().create_future()
         self._open[ask.ask] = future
         try:
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -154,4 +154,34 @@
     request: str
 
 
-MESSAGES = (Beat, CopyAsk, CopyAnswer, Farewell, RoomAsk, RoomAnswer, RoomDrop)
+class TurnAsk(Message):
+    """Asks for the turn to have a prompt read by a decode endpoint itself.
+
+    It is answered by a `RoomAnswer`.
+
+    Attributes:
+        ask: id of the ask, echoed in the answer.
+        request: id of the request.
+    """
+
+    ask: str
+    request: str
+
+
+class TurnDone(Message):
+    """Tells that the prompt of a turn was read."""
+
+    request: str
+
+
+MESSAGES = (
+    Beat,
+    CopyAsk,
+    CopyAnswer,
+    Farewell,
+    RoomAsk,
+    RoomAnswer,
+    RoomDrop,
+    TurnAsk,
+    TurnDone,
+)
