--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -24,6 +24,7 @@
 from ebonyglade.forward.rooms import Rooms
 from ebonyglade.forward.types import Endpoint, Prefilled, Stage
 from ebonyglade.verdict import Refusal, Verdict, refuse, worst
+from ebonyglade.wire.fleet import RoomAsk
 
 logger = logging.getLogger(__name__)
 
@@ -215,9 +216,7 @@
         prompt = call.facts.prompt
         agent = self.rooms.has_agent(endpoint.id)
         if agent:
-            answer = await self.rooms.ask(
-                endpoint.id, call.id, prompt.prompt_tokens, expected_answer(prompt)
-            )
+            answer = await self.rooms.ask(self._room_ask(call, endpoint))
             if answer is None or not answer.granted:
                 return None
             # The agent looked at the whole life of the run.
@@ -229,6 +228,20 @@
             return None
         return Room(endpoint, hold, tokens)
 
+    def _room_ask(self, call: ForwardCall, endpoint: Endpoint) -> RoomAsk:
+        now = self.desk.clock()
+        prompt = call.facts.prompt
+        return RoomAsk(
+            ask=self.rooms.new_id(),
+            endpoint=endpoint.id,
+            request=call.id,
+            prompt_tokens=prompt.prompt_tokens,
+            answer_tokens=expected_answer(prompt),
+            priority=call.priority,
+            late=now > self._on_time_until(call),
+            waited_s=round(now - call.arrived, 3),
+        )
+
     def _log_room(self, call: ForwardCall, room: Room) -> None:
         desk = self.desk
         now = desk.clock()
--- a/packages/ebonyglade/src/ebonyglade/forward/keeper.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/keeper.py
@@ -12,7 +12,7 @@
 from ebonyglade.forward.belief import Belief
 from ebonyglade.forward.copies import Copies
 from ebonyglade.forward.members import Members
-from ebonyglade.forward.room import ReadingTurns, RoomBook
+from ebonyglade.forward.room import Rank, ReadingTurns, RoomBook
 from ebonyglade.forward.stages import MISSING_S, SETTLED_S, Wanted, wanted_change
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage
 from ebonyglade.ports import Sender
@@ -142,8 +142,9 @@
         granted = False
         if self._serves(mine, ask.endpoint, now):
             self._room.slots = mine.slots
+            rank = Rank(ask.priority, ask.late, -ask.waited_s)
             granted = self._room.ask(
-                ask.request, ask.prompt_tokens, ask.answer_tokens, now
+                ask.request, ask.prompt_tokens, ask.answer_tokens, rank, now
             )
         self.context.count("rooms_granted" if granted else "rooms_refused")
         self._answer(sender, RoomAnswer(ask.ask, granted))
--- a/packages/ebonyglade/src/ebonyglade/forward/room.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/room.py
@@ -20,6 +20,7 @@
 TURN_LAPSE_S = 1.0  # a reading turn that is not ended lapses after this time
 # Time for one event of each run between two prompts that the endpoint reads.
 TURN_PAUSE_S = 0.06
+ASKED_S = 0.2  # a request that did not ask again within this time has left
 UNSEEN_S = 0.6  # a run that the endpoint does not report for so long has ended
 
 
@@ -72,6 +73,27 @@
         return Need(max(self.tokens, self.prompt), max(expected - made, least))
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """Who goes first, over all entries; the smallest does.
+
+    Attributes:
+        priority: rank, where 0 is the most urgent.
+        late: whether it can't be answered on time any more.
+        waits: seconds that it has waited, negative.
+    """
+
+    priority: int
+    late: bool
+    waits: float
+
+
+@dataclass(slots=True)
+class _Asked:
+    rank: Rank
+    at: float
+
+
 @dataclass(slots=True)
 class RoomBook:
     """Who has room at an endpoint; kept by the agent beside it.
@@ -85,6 +107,7 @@
     memory: int = 0
     _others: int = 0
     _runs: dict[str, _Run] = field(default_factory=dict)
+    _waiting: dict[str, _Asked] = field(default_factory=dict)
 
     def reported(
         self, runs: Iterable[RunState], used: int, memory: int, now: float
@@ -101,24 +124,35 @@
         mine = sum(run.tokens for run in self._runs.values() if run.seen is not None)
         self._others = max(0, used - mine)
 
-    def ask(self, request: str, prompt: int, answer: int, now: float) -> bool:
-        """Give a request room, if there is any; asking again changes nothing."""
+    def ask(
+        self, request: str, prompt: int, answer: int, rank: Rank, now: float
+    ) -> bool:
+        """Give a request room; asking again changes nothing.
+
+        Room that is there is kept for a request that goes before this one and
+        asked a moment ago.
+        """
         if request in self._runs:
             return True
         self._drop_ended(now)
+        self._waiting.pop(request, None)
         run = _Run(prompt, answer, 0, now)
-        if len(self._runs) >= self.slots or not self._fits(run):
-            return False
-        self._runs[request] = run
-        return True
+        first = all(rank <= other.rank for other in self._waiting.values())
+        if first and len(self._runs) < self.slots and self._fits(run):
+            self._runs[request] = run
+            return True
+        self._waiting[request] = _Asked(rank, now)
+        return False
 
     def drop(self, request: str) -> None:
         """Take the room of a request back."""
         self._runs.pop(request, None)
+        self._waiting.pop(request, None)
 
     def clear(self) -> None:
         """Forget all runs, after the endpoint has started anew."""
         self._runs.clear()
+        self._waiting.clear()
         self._others = 0
 
     def free(self) -> int:
@@ -148,6 +182,13 @@
         ]
         for request in ended:
             del self._runs[request]
+        left = [
+            request
+            for request, asked in self._waiting.items()
+            if now - asked.at > ASKED_S
+        ]
+        for request in left:
+            del self._waiting[request]
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/forward/rooms.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rooms.py
@@ -48,24 +48,25 @@
         for name in set(self._agents) - endpoints:
             del self._agents[name]
 
+    def new_id(self) -> str:
+        """Return an id for an ask."""
+        return self.context.new_id()
+
     def has_agent(self, endpoint: str) -> bool:
         """Return whether an agent answers for an endpoint."""
         agent = self._agents.get(endpoint)
         now = self.context.clock()
         return agent is not None and now - agent.heard < AGENT_S
 
-    async def ask(
-        self, endpoint: str, request: str, prompt: int, answer: int
-    ) -> RoomAnswer | None:
+    async def ask(self, ask: RoomAsk) -> RoomAnswer | None:
         """Return the agent's answer; None if there is none in time."""
-        ask = RoomAsk(self.context.new_id(), endpoint, request, prompt, answer)
-        return await self._answered(endpoint, ask)
+        return await self._answered(ask.endpoint, ask)
 
     async def turn(self, endpoint: str, request: str) -> bool:
         """Return whether a prompt may be read now; True if nobody can tell."""
         if not self.has_agent(endpoint):
             return True
-        ask = TurnAsk(self.context.new_id(), request)
+        ask = TurnAsk(self.new_id(), request)
         answer = await self._answered(endpoint, ask)
         return answer is None or answer.granted
 
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -125,6 +125,9 @@
         request: id of the request.
         prompt_tokens: tokens to read.
         answer_tokens: tokens that its answer is expected to have.
+        priority: rank, where 0 is the most urgent.
+        late: whether it can't be answered on time any more.
+        waited_s: seconds since it arrived.
     """
 
     ask: str
@@ -132,6 +135,9 @@
     request: str
     prompt_tokens: int
     answer_tokens: int
+    priority: int = 0
+    late: bool = False
+    waited_s: float = 0.0
 
 
 class RoomAnswer(Message):
