Tell other entries at once of requests that take much of a rate

Change: an entry tells the others of a large request at once, and the buckets use 0.95 of the overage and 0.85 of the slack.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -25,13 +25,18 @@
 from ebonyglade.forward.rates import FleetRates, RateTerms
 from ebonyglade.forward.rooms import Rooms
 from ebonyglade.forward.types import Workspace
+from ebonyglade.ports import Sender
 from ebonyglade.verdict import Refusal, Verdict, refuse
-from ebonyglade.wire.fleet import Beat
+from ebonyglade.wire.fleet import Beat, Spent
 
 logger = logging.getLogger(__name__)
 
 DEFAULT_DEADLINE_S = 30.0  # of a caller that does not say how long it waits
 KEEP_S = 1.0  # between two clean-ups
+# A request that takes this part of a burst is told to the other entries at once,
+# unless there are so many that it would cost more than it helps.
+TOLD_PART = 0.02
+MOST_TOLD = 40
 RATE_WAIT_S = 0.3  # longest wait for tokens of the workspace's rate
 
 Proceed = Callable[[ForwardCall], Awaitable[Reply]]
@@ -51,7 +56,7 @@
 
     key_age_s: float | None
     budget: BudgetTerms
-    rates: RateTerms = RateTerms()
+    rates: RateTerms
 
 
 class ForwardEntry:
@@ -111,6 +116,7 @@
         ]
         self.members.on_gone.append(self._on_gone)
         self.members.start()
+        self.context.handle({Spent: self._on_spent})
         self.context.every(KEEP_S, self._keep)
         self.context.every(KEEP_S / 5, self.belief.tick)
 
@@ -204,10 +210,27 @@
         call.cost = _cost(call, workspace)
         wait = self.rates.take(workspace, call.cost, self.context.clock())
         if wait <= 0:
+            self._tell_spent(workspace, call.cost)
             return None
         call.cost = 0.0
         return refuse("rate_exceeded", retry_after=wait)
 
+    def _tell_spent(self, workspace: Workspace, cost: float) -> None:
+        """Tell the other entries at once of a request that takes much."""
+        if workspace.rate <= 0 or cost < TOLD_PART * workspace.burst:
+            return
+        entries = [item for item in self.members.all() if item.entry]
+        if len(entries) > MOST_TOLD:
+            return
+        message = Spent(workspace.name, self.rates.spent[workspace.name])
+        for member in entries:
+            self.context.send(member.address, message)
+
+    def _on_spent(self, sender: Sender, message: Spent) -> None:
+        self.rates.heard_one(
+            sender.instance, sender.incarnation, message.workspace, message.total
+        )
+
     def _refund(self, call: ForwardCall) -> None:
         if call.workspace is not None and call.cost:
             self.rates.refund(call.workspace, call.cost)
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -19,8 +19,8 @@
 START_PART = 0.5
 # Parts of the published overage and slack that the bucket uses. The rest covers
 # what entries admit between two beats.
-USED_OVERAGE = 0.8
-USED_SLACK = 0.6
+USED_OVERAGE = 0.95
+USED_SLACK = 0.85
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,14 +120,18 @@
         elif other.incarnation != incarnation:
             other = self._others[entry] = _Other(incarnation, {}, now)
         for name, total in spent.items():
-            news = total - other.spent.get(name, 0.0)
-            other.spent[name] = total
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.level -= news - other.assumed.get(name, 0.0)
+            self._note(other, name, total)
         other.heard = now
         other.assumed.clear()
 
+    def heard_one(
+        self, entry: str, incarnation: str, workspace: str, total: float
+    ) -> None:
+        """Take what another entry admitted of one workspace, ahead of its beat."""
+        other = self._others.get(entry)
+        if other is not None and other.incarnation == incarnation:
+            self._note(other, workspace, total)
+
     def gone(self, entry: str) -> None:
         """Forget an entry that ended."""
         self._others.pop(entry, None)
@@ -137,6 +141,13 @@
         for entry in set(self._others) - entries:
             del self._others[entry]
 
+    def _note(self, other: _Other, name: str, total: float) -> None:
+        news = total - other.spent.get(name, 0.0)
+        other.spent[name] = total
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            bucket.level -= news - other.assumed.pop(name, 0.0)
+
     def _charge(self, name: str, cost: float) -> None:
         self._buckets[name].level -= cost
         self._spent[name] = self._spent.get(name, 0.0) + cost
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -116,6 +116,16 @@
     """The sender is about to end and spends nothing more."""
 
 
+class Spent(Message):
+    """What the sender admitted of one workspace since its start.
+
+    Sent at once for large requests, so that others need not wait for a beat.
+    """
+
+    workspace: str
+    total: float
+
+
 class RoomAsk(Message):
     """Asks the agent beside a model endpoint for room for one request.
 
@@ -185,6 +195,7 @@
     CopyAsk,
     CopyAnswer,
     Farewell,
+    Spent,
     RoomAsk,
     RoomAnswer,
     RoomDrop,
