--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -21,7 +21,6 @@
 BODY_S = 10.0  # a body must arrive within this time
 # The balancer asks once a second and needs two misses.
 LEAVE_S = 2.6
-REQUEST_ID = "X-Request-Id"
 
 
 class ForwardServer(Service):
@@ -91,7 +90,7 @@
 
     def _ready_app(self) -> web.Application:
         app = web.Application()
-        app.router.add_get("/ready", self._ready)
+        app.router.add_get(self._node.adapter.READY_PATH, self._ready)
         return app
 
     def _metrics_app(self) -> web.Application:
@@ -129,8 +128,10 @@
             raise
         except (BrokenOff, ConnectionError) as error:
             outcome = f"cut: {error}"
-            request.transport and request.transport.abort()
-            raise
+            if request.transport is not None:
+                # Without its last chunk an answer can't look whole.
+                request.transport.abort()
+            raise ConnectionResetError("answer cut off") from error
         except Exception:
             logger.exception("request failed", extra={"request": call and call.id})
             return self._refuse(request, refuse("internal"), call.id if call else "")
@@ -210,7 +211,7 @@
             status=refusal.status,
         )
         if request_id:
-            response.headers[REQUEST_ID] = request_id
+            response.headers[self._node.adapter.REQUEST_ID] = request_id
         if refusal.retry_after is not None:
             response.headers["Retry-After"] = f"{refusal.retry_after:.1f}"
         self._leave(response)
@@ -230,7 +231,7 @@
         logger.info(
             "request",
             extra={
-                "request": call.id if call else request.headers.get(REQUEST_ID, ""),
+                "request": request.headers.get(self._node.adapter.REQUEST_ID, ""),
                 "route": call.route.name if call and call.route else "",
                 "workspace": call.workspace_name if call else "",
                 "outcome": outcome,
--- /dev/null
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/adapter.py
@@ -0,0 +1,68 @@
+"""An adapter to a platform that speaks the product's own types, as JSON."""
+
+from types import SimpleNamespace
+
+import msgspec
+
+from ebonyglade.forward.types import (
+    AnswerFacts,
+    ControlCall,
+    Endpoint,
+    EngineReport,
+    Headers,
+    Outgoing,
+    Prefilled,
+    Published,
+    Stage,
+)
+
+
+def encode_document(document: Published | Endpoint | EngineReport) -> bytes:
+    """Return the bytes of a document of the store."""
+    return msgspec.json.encode(document)
+
+
+def _decode_published(value: bytes) -> Published:
+    return msgspec.json.decode(value, type=Published)
+
+
+def _decode_endpoint(name: str, value: bytes) -> Endpoint:
+    return msgspec.json.decode(value, type=Endpoint)
+
+
+def _hold_call(tokens: int, seconds: float) -> ControlCall:
+    return ControlCall("POST", "/hold", msgspec.json.encode([tokens, seconds]))
+
+
+def _stage_call(stage: Stage, holder: str, fence: int, orders: int) -> ControlCall:
+    return ControlCall("POST", "/stage", msgspec.json.encode([stage, fence, orders]))
+
+
+def _request_headers(headers: Headers, out: Outgoing) -> Headers:
+    return list(headers)
+
+
+def _read_answer(status: int, headers: dict) -> AnswerFacts:
+    return AnswerFacts("", True, True)
+
+
+plain_adapter = SimpleNamespace(
+    CONFIGURATION="configuration",
+    ENDPOINTS="endpoints/",
+    READY_PATH="/ready",
+    REQUEST_ID="request-id",
+    decode_published=_decode_published,
+    decode_endpoint=_decode_endpoint,
+    hold_call=_hold_call,
+    decode_hold=lambda body: body.decode(),
+    drop_hold_call=lambda hold: ControlCall("DELETE", f"/hold/{hold}"),
+    decode_prefilled=lambda body: Prefilled(body.decode(), 0),
+    free_call=lambda handle: ControlCall("DELETE", f"/handle/{handle}"),
+    report_call=lambda: ControlCall("GET", "/report"),
+    decode_report=lambda body: msgspec.json.decode(body, type=EngineReport),
+    stage_call=_stage_call,
+    request_headers=_request_headers,
+    response_headers=list,
+    read_answer=_read_answer,
+)
+"""The adapter; its members are those of `ebonyglade.forward.adapter.Adapter`."""
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -138,4 +138,5 @@
 def open_frame(frame: bytes) -> tuple[Sender, Message]:
     """Return the sender and message of a frame that a process sent."""
     envelope = decode(frame).unwrap()
-    return Sender(envelope.instance, envelope.incarnation), envelope.body
+    sender = Sender(envelope.instance, envelope.incarnation, envelope.address)
+    return sender, envelope.body
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -25,7 +25,6 @@
 IDLE_S = 8.0  # an idle connection is not used again after this time
 IDLE_MARGIN_S = 0.8  # and so long before the endpoint would close it
 MAX_HEADER_BYTES = 64 * 1024
-REQUEST_ID = "X-Request-Id"
 # Headers that the library would add where the caller sent none.
 NOT_ADDED = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
@@ -59,8 +58,9 @@
     no request, and a connection that carried any is not used again.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, id_header: str) -> None:
         super().__init__(loop)
+        self._id_header = id_header
         self._expected: str | None = None
         self._usable_until = time.monotonic() + IDLE_S
 
@@ -82,7 +82,7 @@
         if 100 <= message.code < 200:
             super().feed_data(data, size)
             return
-        found = message.headers.get(REQUEST_ID, "")
+        found = message.headers.get(self._id_header, "")
         if self._expected is None or found != self._expected:
             self.force_close()
             if self._expected is None or found:
@@ -135,9 +135,9 @@
 class _Connector(aiohttp.TCPConnector):
     """Opens connections that notice a silent peer."""
 
-    def __init__(self, **options: object) -> None:
+    def __init__(self, id_header: str, **options: object) -> None:
         super().__init__(socket_factory=_open_socket, **options)
-        self._factory = partial(_Handler, loop=self._loop)
+        self._factory = partial(_Handler, loop=self._loop, id_header=id_header)
 
     def _release(
         self, key: object, protocol: _Handler, *, should_close: bool = False
@@ -149,9 +149,15 @@
 class EndpointClient:
     """Connections to all endpoints and the store; close it after use."""
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(self, connect_timeout_s: float, id_header: str) -> None:
+        """Prepare the client.
+
+        Args:
+            connect_timeout_s: seconds in which a connection must be open.
+            id_header: header by which answers are matched to requests.
+        """
         self._session = aiohttp.ClientSession(
-            connector=_Connector(limit=0, keepalive_timeout=IDLE_S),
+            connector=_Connector(id_header, limit=0, keepalive_timeout=IDLE_S),
             request_class=_Request,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -57,7 +57,7 @@
 
     async def on_start(self) -> None:
         """Open the HTTP client."""
-        self.client = EndpointClient(CONNECT_S)
+        self.client = EndpointClient(CONNECT_S, self.adapter.REQUEST_ID)
         self.port = HttpEndpointPort(self.adapter, self.client)
 
     async def join(self, belief: Belief) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/adapter.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/adapter.py
@@ -30,10 +30,14 @@
     Attributes:
         CONFIGURATION: path of the operator's configuration in the store.
         ENDPOINTS: start of the paths of the endpoints' entries.
+        READY_PATH: where the balancer asks whether an entry is ready.
+        REQUEST_ID: header that carries the id of a request, and of the answer to it.
     """
 
     CONFIGURATION: str
     ENDPOINTS: str
+    READY_PATH: str
+    REQUEST_ID: str
 
     def range_call(self, prefix: str, after: str = "") -> ControlCall:
         """Return the call that reads a page of the store."""
--- a/packages/ebonyglade/src/ebonyglade/forward/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/desk.py
@@ -122,11 +122,16 @@
             return refuse("answer_broken")
         return refuse("endpoint_failed")
 
-    def broke(self, call: ForwardCall, endpoint: Endpoint) -> Failure:
-        """Note that an answer broke off."""
+    def broke(
+        self,
+        call: ForwardCall,
+        endpoint: Endpoint,
+        reason: str = "answer broke off",
+    ) -> Failure:
+        """Note that an answer can't be passed on; the request may have run."""
         self.loads.answered(endpoint.id, failed=True)
         call.verdict = worst(call.verdict, Verdict.MAY_HAVE_RUN)
-        return Failure(Trouble.BROKEN, "answer broke off")
+        return Failure(Trouble.BROKEN, reason)
 
     def _note(
         self,
--- a/packages/ebonyglade/src/ebonyglade/forward/plain.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/plain.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok
 
-from ebonyglade.forward.call import Failure, ForwardCall, Reply, Trouble, Whole
+from ebonyglade.forward.call import Failure, ForwardCall, Reply, Whole
 from ebonyglade.forward.desk import LEAST_S, Desk, read_whole
 from ebonyglade.verdict import Verdict
 
@@ -62,7 +62,7 @@
             if isinstance(body, Err):
                 return Err(desk.broke(call, endpoint))
             if answer.facts.encoded:
-                return Err(Failure(Trouble.BROKEN, "encoded body"))
+                return Err(desk.broke(call, endpoint, "encoded body"))
             desk.crashes.worked(call.fingerprint)
             headers = desk.adapter.response_headers(answer.headers)
             return Ok(Whole(answer.status, headers, body.ok_value))
--- /dev/null
+++ b/tests/forward/test_adapter.py
@@ -0,0 +1,195 @@
+"""The adapter to the users' platform, and that nothing else knows its names."""
+
+import ast
+import json
+import re
+from pathlib import Path
+
+import ebonyglade_platform as adapter
+import pytest
+
+from ebonyglade.forward.types import Outgoing, Repeat, Stage
+from ebonyglade_platform import configuration, endpoints, names, store
+from helpers.users_platform import config, route
+
+ROOT = Path(__file__).parent.parent.parent
+PRODUCT = sorted((ROOT / "packages").rglob("*.py"))
+ADAPTER = sorted((ROOT / "platform").rglob("*.py"))
+
+
+def test_a_configuration_is_decoded_once_into_seconds():
+    routes = [
+        route("/a/", TrafficSplit=[{"Service": "plain", "Weight": 90}], Service=None),
+        route("/s/", "model", "streaming", Resumable=True, GapTargetMs=300),
+    ]
+    published = adapter.decode_published(json.dumps(config(7, routes)).encode())
+    first, second = published.routes
+    assert published.version == 7
+    assert first.timeout_s == 2.0
+    assert first.shares[0].weight == 90
+    assert (second.repeat, second.resumable) == (Repeat.STREAM, True)
+    assert second.gap_target_s == 0.3
+    assert published.services[1].engine.hold_s == 2.0
+    assert published.workspaces[0].keys == ("key-1",)
+    assert published.limits.idle_timeout_s == 15.0
+
+
+def test_fields_that_nobody_knows_yet_are_ignored():
+    document = config(1, [route("/a/", Novelty=3)], Novelty={"x": 1})
+    assert adapter.decode_published(json.dumps(document).encode()).version == 1
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"Version": 1}', b"\xff\xfe"])
+def test_what_is_no_configuration_is_told_so(value):
+    with pytest.raises(ValueError):
+        adapter.decode_published(value)
+
+
+ENTRY = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "State": "draining",
+    "Slots": 3,
+    "Stage": "prefill",
+    "born": 5,
+}
+
+
+def test_an_endpoints_entry():
+    found = adapter.decode_endpoint("i-1", json.dumps(ENTRY).encode())
+    assert (found.id, found.leaving, found.stage) == ("i-1", True, Stage.PREFILL)
+    assert found.born_ms == 5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Service": 3},
+        {"Address": "nowhere"},
+        {"Address": None},
+        {"State": "unheard-of"},
+        {"Slots": "3"},
+        {"Slots": 0},
+    ],
+)
+def test_an_entry_of_another_writer_is_refused(change):
+    with pytest.raises(ValueError):
+        adapter.decode_endpoint("i-1", json.dumps({**ENTRY, **change}).encode())
+
+
+def test_a_request_shows_the_endpoint_what_the_system_sets_and_no_key():
+    headers = [
+        ("Host", "h.example"),
+        ("Api-Key", "secret"),
+        ("X-Tenant", "forged"),
+        ("X-Kv-Hold", "forged"),
+        ("X-Kv-Source", "forged"),
+        ("X-Stage", "prefill"),
+        ("X-Request-Priority", "0"),
+        ("X-Deadline-Ms", "9000"),
+        ("Connection", "X-Mine, close"),
+        ("X-Mine", "1"),
+        ("X-Other", "kept"),
+        ("X-Request-Id", "id-1"),
+    ]
+    out = Outgoing(deadline_s=1.5, endpoint="i-1", workspace="team-a", hold="h")
+    assert adapter.request_headers(headers, out) == [
+        ("Host", "h.example"),
+        ("X-Other", "kept"),
+        ("X-Request-Id", "id-1"),
+        (names.DEADLINE_MS, "1500"),
+        (names.TARGET_INSTANCE, "i-1"),
+        (names.TENANT, "team-a"),
+        (names.KV_HOLD, "h"),
+    ]
+
+
+def test_sizes_of_a_prompt_are_read_from_its_headers():
+    facts = adapter.read_request(
+        {
+            "x-request-id": "id-1",
+            "x-deadline-ms": "14000",
+            "api-key": "k",
+            "x-model": "m",
+            "x-token-count": "1460,80",
+            "x-prompt-prefix": "5c1e:800,91bd:660",
+            "x-length-hint": "70",
+        }
+    )
+    assert facts.deadline_s == 14.0
+    assert (facts.prompt.prompt_tokens, facts.prompt.max_tokens) == (1460, 80)
+    assert facts.prompt.expected_tokens == 70
+    assert [part.tokens for part in facts.prompt.parts] == [800, 660]
+    assert adapter.read_request({"x-token-count": "many"}).prompt is None
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "ran"),
+    [
+        (503, {"x-not-executed": "1"}, False),
+        (421, {}, False),
+        (503, {}, True),
+        (200, {}, True),
+    ],
+)
+def test_only_an_endpoints_word_says_that_it_did_not_run(status, headers, ran):
+    assert adapter.read_answer(status, headers).ran is ran
+
+
+def test_a_value_that_is_no_base64_reads_as_an_empty_document():
+    body = {"items": [{"Key": "k", "Value": "%%", "Revision": 3}], "AsOf": 4}
+    page = adapter.decode_page(json.dumps(body).encode())
+    assert page.documents[0].value == b""
+    assert page.as_of == 4
+
+
+def test_a_removal_has_no_value():
+    body = {"events": [{"Key": "k", "Revision": 3, "Removed": True}], "AsOf": 4}
+    assert adapter.decode_watch(json.dumps(body).encode()).documents[0].value is None
+
+
+def _wire_names():
+    """Return the names on the wire that only the adapter may hold."""
+    found = {
+        value
+        for name, value in vars(names).items()
+        if name.isupper() and isinstance(value, str) and value.startswith("x-")
+    }
+    found |= {names.KEY, names.KV_FETCH, store.CONFIGURATION, store.ENDPOINTS}
+    for module in (configuration, endpoints, store):
+        for node in ast.walk(ast.parse(Path(module.__file__).read_text())):
+            if isinstance(node, ast.Constant) and isinstance(node.value, str):
+                found |= set(re.findall(r"^/[a-z]+-[a-z]+", node.value))
+    found |= {"KvHandle", "FencingToken", "PathPrefix", "TrafficSplit", "KvCapacity"}
+    # The product's own interface has this header too.
+    return found - {names.REQUEST_ID}
+
+
+def test_nothing_outside_the_adapter_knows_the_platforms_names():
+    wire = _wire_names()
+    assert len(wire) > 20
+    known = [
+        (path.name, name)
+        for path in PRODUCT
+        for name in wire
+        if name.lower() in path.read_text().lower()
+    ]
+    assert known == []
+
+
+def test_no_name_of_a_users_site_stands_in_the_code():
+    sites = re.compile(
+        r"aula|phamgia|cartelera|resumen|farrier|rounds-desk|centro|cantho|vinhlong",
+        re.IGNORECASE,
+    )
+    # The lab replays the users' loads under their names; it is not deployed.
+    deployed = [path for path in PRODUCT if "ebonyglade-lab" not in path.parts]
+    texts = [*deployed, *ADAPTER, *(ROOT / "deploy").glob("*.t*ml")]
+    assert [path.name for path in texts if sites.search(path.read_text())] == []
+
+
+def test_the_adapter_is_under_a_tenth_of_the_products_code():
+    adapter_lines = sum(len(path.read_text().splitlines()) for path in ADAPTER)
+    lines = sum(len(path.read_text().splitlines()) for path in PRODUCT)
+    assert adapter_lines < lines / 10
--- /dev/null
+++ b/tests/forward/test_dispatch.py
@@ -0,0 +1,212 @@
+import asyncio
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from ebonyglade.forward.call import Answer, BrokenOff, Failure, Stream, Trouble
+from ebonyglade.forward.generation import PATIENCE_S, GenerationDispatcher
+from ebonyglade.forward.plain import PlainDispatcher
+from ebonyglade.forward.rooms import Rooms
+from ebonyglade.forward.types import AnswerFacts, Repeat, Stage
+from ebonyglade.verdict import Verdict
+from ebonyglade_lab.virtual.loop import run
+from helpers.forwarding import MODEL, call, context, decode, desk, endpoint, prompt
+
+NOT_RUN = Failure(Trouble.REJECTED, "status 503")
+LOST = Failure(Trouble.LOST, "reset")
+UNREACHED = Failure(Trouble.NOT_SENT, "refused")
+
+
+def answer(*parts, status=200, broken=False, encoded=False):
+    async def chunks():
+        for part in parts:
+            yield part
+        if broken:
+            raise BrokenOff("reset")
+
+    facts = AnswerFacts("id-1", True, True, encoded=encoded)
+    return Ok(Answer(status, [("X", "y")], facts, None, chunks(), lambda: None))
+
+
+@dataclass
+class Port:
+    """Answers sendings in turn, and control calls by the start of their target."""
+
+    answers: list
+    control_answers: dict = field(default_factory=dict)
+    sent: list = field(default_factory=list)
+    controls: list = field(default_factory=list)
+
+    async def send(self, call, endpoint, out, within):
+        self.sent.append((endpoint.id, out))
+        found = self.answers.pop(0)
+        return found if isinstance(found, Ok) else Err(found)
+
+    async def control(self, endpoint, call, within):
+        self.controls.append((endpoint.id, call.method, call.target))
+        found = self.control_answers.get((endpoint.id, call.target), (200, b"hold-1"))
+        return Ok(found)
+
+    @property
+    def names(self):
+        return [name for name, _ in self.sent]
+
+
+def plain(answers, repeat, **changes):
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        port = Port(answers)
+        made = desk(port, clock, endpoint("a"), endpoint("b"), endpoint("c"))
+        asked = call(clock, repeat=repeat, **changes)
+        reply = await PlainDispatcher(made).run(asked)
+        return reply, port, asked
+
+    return run(scenario())
+
+
+def test_an_answer_is_passed_on_whole():
+    reply, port, _ = plain([answer(b"a", b"b")], Repeat.ONCE)
+    assert reply.ok_value.body == b"ab"
+    assert len(port.sent) == 1
+
+
+def test_what_may_run_once_goes_elsewhere_only_if_it_did_not_run():
+    reply, port, _ = plain([NOT_RUN, UNREACHED, answer(b"x")], Repeat.ONCE)
+    assert isinstance(reply, Ok)
+    assert len(set(port.names)) == 3
+    reply, port, _ = plain([LOST, answer(b"x")], Repeat.ONCE)
+    assert reply.err_value.status == 502
+    assert reply.err_value.verdict is Verdict.MAY_HAVE_RUN
+    assert len(port.sent) == 1
+
+
+def test_a_refusal_says_not_run_only_if_no_endpoint_can_have_run_it():
+    reply, _, asked = plain([NOT_RUN, NOT_RUN, NOT_RUN], Repeat.ONCE)
+    assert reply.err_value.verdict is Verdict.NOT_RUN
+    assert reply.err_value.status == 503
+    assert reply.err_value.retry_after is not None
+    reply, _, asked = plain([LOST, NOT_RUN, NOT_RUN], Repeat.IDEMPOTENT)
+    assert asked.verdict is Verdict.MAY_HAVE_RUN
+    assert reply.err_value.status in (502, 504)
+
+
+def test_a_broken_answer_is_repeated_only_where_it_may_be():
+    reply, port, _ = plain([answer(b"a", broken=True)], Repeat.ONCE)
+    assert reply.err_value.code == "answer_broken"
+    broken = [answer(b"a", broken=True), answer(b"whole")]
+    reply, port, _ = plain(broken, Repeat.IDEMPOTENT)
+    assert reply.ok_value.body == b"whole"
+    broken = [answer(b"a", broken=True), answer(b"whole")]
+    reply, _, _ = plain(broken, Repeat.IDEMPOTENT, max_attempts=1)
+    assert isinstance(reply, Err)
+
+
+def test_an_encoding_that_nobody_asked_for_is_not_passed_on():
+    reply, _, _ = plain([answer(b"gz", encoded=True)], Repeat.ONCE)
+    assert reply.err_value.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_without_an_endpoint_a_request_is_refused_at_once():
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        started = clock()
+        reply = await PlainDispatcher(desk(Port([]), clock)).run(call(clock))
+        return reply, clock() - started
+
+    reply, waited = run(scenario())
+    assert reply.err_value.code == "no_endpoint"
+    assert waited == 0
+
+
+class _Transport:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, instance, message):
+        self.sent.append((instance, message))
+        return True
+
+
+def generate(answers, control_answers=None, repeat=Repeat.STREAM, listed=None):
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        port = Port(answers, control_answers or {})
+        listed_now = listed or [
+            endpoint("p", "model", stage=Stage.PREFILL),
+            decode("d"),
+            decode("e"),
+        ]
+        made = desk(port, clock, *listed_now)
+        rooms = Rooms(context(clock, _Transport()))
+        dispatcher = GenerationDispatcher(made, rooms)
+        asked = call(clock, MODEL, repeat, prompt())
+        reply = await dispatcher.run(asked)
+        events = []
+        if isinstance(reply, Ok) and isinstance(reply.ok_value, Stream):
+            try:
+                async for part in reply.ok_value.chunks:
+                    events.append(part)
+            except BrokenOff as error:
+                events.append(error)
+        await asyncio.sleep(0.1)
+        return reply, port, events, clock()
+
+    return run(scenario())
+
+
+def test_memory_is_reserved_before_the_prompt_is_read():
+    _, port, events, _ = generate(
+        [answer(b"handle"), answer(b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n")]
+    )
+    assert port.controls[0][1:] == ("POST", "/hold")
+    prefill, decoded = (out for _, out in port.sent)
+    assert prefill.prefill_only
+    assert decoded.hold == "hold-1"
+    assert decoded.cache_source.endswith("/handle")
+    assert b"".join(events) == b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+
+
+def test_a_full_endpoint_is_passed_over_and_a_full_fleet_is_refused_in_time():
+    full = {("d", "/hold"): (503, b""), ("e", "/hold"): (503, b"")}
+    reply, port, _, now = generate([], full)
+    assert reply.err_value.code == "overloaded"
+    assert reply.err_value.verdict is Verdict.NOT_RUN
+    assert reply.err_value.retry_after > 0
+    assert PATIENCE_S <= now <= PATIENCE_S + 0.3
+    assert not port.sent
+
+
+def test_without_a_prefill_endpoint_the_decode_endpoint_reads_the_prompt():
+    reply, port, events, _ = generate([answer(b"data: x\n\n")], listed=[decode("d")])
+    assert isinstance(reply.ok_value, Stream)
+    assert port.sent[0][1].cache_source == ""
+    assert events == [b"data: x\n\n"]
+
+
+def test_a_stream_that_breaks_off_does_not_end_as_whole():
+    parts = (b"data: x\n\n", b"data: half")
+    _, _, events, _ = generate([answer(b"handle"), answer(*parts, broken=True)])
+    assert events[0] == b"data: x\n\n"
+    assert isinstance(events[1], BrokenOff)
+
+
+def test_an_answer_that_breaks_before_its_first_event_is_a_failure():
+    reply, _, _, _ = generate([answer(b"handle"), answer(b"da", broken=True)])
+    assert reply.err_value.verdict is Verdict.MAY_HAVE_RUN
+    assert reply.err_value.status == 502
+
+
+def test_a_refused_handle_leads_to_another_endpoint_with_a_new_prefill():
+    answers = [answer(b"h1"), NOT_RUN, answer(b"h2"), answer(b"data: x\n\n")]
+    reply, port, _, _ = generate(answers)
+    assert isinstance(reply, Ok)
+    assert port.names[0] == port.names[2] == "p"
+    assert port.names[1] != port.names[3]
+    freed = [target for _, method, target in port.controls if method == "DELETE"]
+    assert "/handle/h1" in freed
+
+
+def test_an_endpoints_failure_keeps_its_status():
+    reply, _, _, _ = generate([answer(b"handle"), answer(b"no", status=500)])
+    assert reply.ok_value.status == 500
+    assert reply.ok_value.body == b"no"
--- /dev/null
+++ b/tests/forward/test_endpoint_client.py
@@ -0,0 +1,168 @@
+"""What endpoints may send wrong, over real sockets."""
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from ebonyglade.forward.types import ControlCall
+from ebonyglade_node.endpoint_client import EndpointClient, NotSent, Sending
+
+ID = "Request-Id"
+
+
+def whole(request_id, body=b"ok", extra=b""):
+    head = f"HTTP/1.1 200 OK\r\n{ID}: {request_id}\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body + extra
+
+
+@asynccontextmanager
+async def endpoint(serve):
+    """Serve raw connections; yield the address and the client."""
+    connections = []
+
+    async def connected(reader, writer):
+        connections.append(writer)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await serve(len(connections), writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(connected, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    client = EndpointClient(1.0, ID)
+    try:
+        yield address, client, connections
+    finally:
+        await client.close()
+        server.close()
+
+
+def reset(writer):
+    """Close a connection with a reset in place of its ordinary end."""
+    opened = writer.get_extra_info("socket")
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def ask(client, address, request_id, may_send=lambda: True):
+    sending = Sending(request_id, may_send)
+    response = await client.request(
+        address, "GET", "/x", [(ID, request_id)], b"", sending
+    )
+    async with response:
+        return await response.read()
+
+
+async def test_a_late_second_answer_is_not_taken_for_the_next_one():
+    async def serve(connection, writer):
+        served.append(None)
+        if len(served) == 1:
+            writer.write(whole("a"))
+            return
+        # The second answer to the first request, then the right one.
+        writer.write(whole("a", b"wrong") + whole("b", b"right"))
+
+    served = []
+    async with endpoint(serve) as (address, client, _):
+        assert await ask(client, address, "a") == b"ok"
+        assert await ask(client, address, "b") == b"right"
+
+
+async def test_a_connection_with_extra_bytes_is_not_used_again():
+    async def serve(connection, writer):
+        request = "a" if connection == 1 else "b"
+        writer.write(whole(request, extra=whole(request, b"extra")))
+
+    async with endpoint(serve) as (address, client, connections):
+        assert await ask(client, address, "a") == b"ok"
+        await asyncio.sleep(0.05)
+        assert await ask(client, address, "b") == b"ok"
+        assert len(connections) == 2
+
+
+async def test_a_sound_connection_is_used_again():
+    async def serve(connection, writer):
+        writer.write(whole("a"))
+
+    async with endpoint(serve) as (address, client, connections):
+        await ask(client, address, "a")
+        await ask(client, address, "a")
+        assert len(connections) == 1
+
+
+async def test_an_answer_without_length_that_ends_in_a_reset_is_not_whole():
+    async def serve(connection, writer):
+        writer.write(f"HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\nhalf".encode())
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+
+    async with endpoint(serve) as (address, client, _):
+        with pytest.raises(aiohttp.ClientError):
+            await ask(client, address, "a")
+
+
+async def test_an_answer_without_length_that_ends_cleanly_is_whole():
+    async def serve(connection, writer):
+        writer.write(f"HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\nwhole".encode())
+        await writer.drain()
+        writer.close()
+
+    async with endpoint(serve) as (address, client, _):
+        assert await ask(client, address, "a") == b"whole"
+
+
+async def test_a_lost_connection_is_not_tried_again_by_the_library():
+    async def serve(connection, writer):
+        served.append(connection)
+        if len(served) > 1:
+            writer.transport.abort()
+            return
+        writer.write(whole("a"))
+
+    served = []
+    async with endpoint(serve) as (address, client, _):
+        await ask(client, address, "a")
+        with pytest.raises(aiohttp.ClientError):
+            await ask(client, address, "a")
+        assert len(served) == 2
+
+
+async def test_what_may_not_be_sent_any_more_is_not_sent():
+    async def serve(connection, writer):
+        served.append(connection)
+
+    served = []
+    async with endpoint(serve) as (address, client, _):
+        with pytest.raises(NotSent):
+            await ask(client, address, "a", lambda: False)
+        assert served == []
+
+
+async def test_a_connection_that_will_be_closed_soon_is_not_used_again():
+    async def serve(connection, writer):
+        head = f"HTTP/1.1 200 OK\r\n{ID}: a\r\nKeep-Alive: timeout=1\r\n"
+        writer.write(head.encode() + b"Content-Length: 2\r\n\r\nok")
+
+    async with endpoint(serve) as (address, client, connections):
+        await ask(client, address, "a")
+        await asyncio.sleep(0.4)
+        await ask(client, address, "a")
+        assert len(connections) == 2
+
+
+async def test_a_call_without_an_id_takes_no_answer_that_has_one():
+    async def serve(connection, writer):
+        body = b"mine"
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        writer.write(whole("late", b"other") + head + body)
+
+    async with endpoint(serve) as (address, client, _):
+        status, body = await client.call(address, ControlCall("GET", "/r"), 1.0)
+        assert (status, body) == (200, b"mine")
--- /dev/null
+++ b/tests/forward/test_fleet.py
@@ -0,0 +1,185 @@
+import asyncio
+import random
+
+from ebonyglade.audit import AuditTrail
+from ebonyglade.context import Context, Identity
+from ebonyglade.forward.belief import Belief
+from ebonyglade.forward.copies import Copies
+from ebonyglade.forward.members import FORGET_S, LIVE_S, Members
+from ebonyglade.wire.fleet import Beat
+from ebonyglade_lab.virtual.adapter import plain_adapter
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
+from ebonyglade_lab.virtual.process import Process
+from helpers.forwarding import configuration, endpoint, listed
+
+
+class Node:
+    """One member of a fleet on the fake network."""
+
+    def __init__(self, network, name, seeds, incarnation="1"):
+        self.process = Process(name, incarnation)
+        clock = self.process.clock
+        self.context = Context(
+            me=Identity(name, incarnation, "z"),
+            transport=VirtualTransport(self.process, network),
+            clock=clock,
+            wall=clock,
+            rng=random.Random(name),
+        )
+        self.belief = Belief(plain_adapter, clock, AuditTrail(clock))
+        self.copies = Copies(self.context, self.belief)
+        self.members = Members(self.context, seeds, self._compose)
+        self.members.on_beat.append(self.copies.on_beat)
+        network.attach(name, self._take)
+        self.copies.start()
+        self.members.start()
+        self.process.spawn(self._run())
+
+    def _compose(self):
+        now = self.context.clock()
+        return Beat(
+            now,
+            entry=True,
+            members=self.members.known(now),
+            store=self.copies.state(),
+        )
+
+    def _take(self, frame):
+        if not self.process.dead and not self.process.paused:
+            self.context.deliver(*open_frame(frame))
+
+    async def _run(self):
+        while True:
+            self.context.timers.fire(self.context.clock())
+            await asyncio.sleep(0.05)
+
+    def names(self):
+        live = self.members.live(self.context.clock())
+        return {member.address for member in live}
+
+
+def fleet(count, seeds=("n0",)):
+    network = Network(random.Random(1))
+    nodes = {f"n{n}": Node(network, f"n{n}", seeds) for n in range(count)}
+    return network, nodes
+
+
+def test_all_find_each_other_from_one_seed():
+    async def scenario():
+        _, nodes = fleet(8)
+        await asyncio.sleep(1.5)
+        return {name: node.names() for name, node in nodes.items()}
+
+    found = run(scenario())
+    for name, names in found.items():
+        assert names == set(found) - {name}
+
+
+def test_dead_and_stale_seeds_do_no_harm_while_one_answers():
+    async def scenario():
+        _, nodes = fleet(4, seeds=("gone-1", "gone-2", "n3"))
+        await asyncio.sleep(1.5)
+        return [node.names() for node in nodes.values()]
+
+    assert all(len(names) == 3 for names in run(scenario()))
+
+
+def test_a_member_that_fell_silent_gets_no_traffic_but_counts_until_forgotten():
+    async def scenario():
+        _, nodes = fleet(3)
+        await asyncio.sleep(1)
+        nodes["n2"].process.kill()
+        await asyncio.sleep(LIVE_S + 0.5)
+        before = nodes["n0"].names(), nodes["n0"].members.entries()
+        await asyncio.sleep(FORGET_S + 6)
+        return before, nodes["n0"].members.entries()
+
+    before, after = run(scenario())
+    assert before == ({"n1"}, 3)
+    assert after == 2
+
+
+def test_a_farewell_ends_a_member_at_once():
+    async def scenario():
+        _, nodes = fleet(3)
+        await asyncio.sleep(1)
+        nodes["n2"].members.farewell()
+        nodes["n2"].process.kill()
+        await asyncio.sleep(0.1)
+        return nodes["n0"].members.entries()
+
+    assert run(scenario()) == 2
+
+
+def test_a_connection_that_went_silent_is_opened_anew():
+    async def scenario():
+        network, nodes = fleet(2)
+        await asyncio.sleep(1)
+        network.faults.silent |= {("n0", "n1"), ("n1", "n0")}
+        await asyncio.sleep(LIVE_S + 0.2)
+        lost = nodes["n0"].names()
+        await asyncio.sleep(3)
+        return lost, nodes["n0"].names()
+
+    lost, found = run(scenario())
+    assert lost == set()
+    assert found == {"n1"}
+
+
+def test_members_hand_on_what_the_store_told_one_of_them():
+    async def scenario():
+        _, nodes = fleet(4)
+        await asyncio.sleep(1)
+        reader = nodes["n3"].belief
+        reader.apply([configuration(3, 10), listed(endpoint("a"), 11)], 12)
+        reader.confirm(nodes["n3"].context.clock())
+        await asyncio.sleep(1.5)
+        return nodes
+
+    nodes = run(scenario())
+    for node in nodes.values():
+        assert node.belief.table.version == 3
+        assert set(node.belief.roster.endpoints) == {"a"}
+
+
+def test_a_copy_is_never_held_younger_than_the_read_that_it_rests_on():
+    async def scenario():
+        _, nodes = fleet(3)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(1)
+        nodes["n0"].belief.apply([configuration(3, 10)], 10)
+        nodes["n0"].belief.confirm(loop.time())
+        read_at = loop.time()
+        ages = []
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            ages += [
+                (node.belief.age(loop.time()), loop.time() - read_at)
+                for node in nodes.values()
+            ]
+        return ages
+
+    ages = run(scenario())
+    assert all(age >= true - 1e-6 for age, true in ages)
+
+
+def test_a_removal_reaches_a_member_that_was_cut_off_meanwhile():
+    async def scenario():
+        network, nodes = fleet(2)
+        await asyncio.sleep(1)
+        first = nodes["n0"]
+        first.belief.apply([listed(endpoint("a"), 3), listed(endpoint("b"), 4)], 4)
+        first.belief.confirm(first.context.clock())
+        await asyncio.sleep(1)
+        network.faults.cut.add(frozenset(("n0", "n1")))
+        first.belief.apply([type(listed(endpoint("a"), 9))("endpoints/a", None, 9)], 9)
+        first.belief.confirm(first.context.clock())
+        await asyncio.sleep(3)
+        network.faults.cut.clear()
+        await asyncio.sleep(3)
+        return nodes["n1"].belief
+
+    believed = run(scenario())
+    assert set(believed.roster.endpoints) == {"b"}
+    assert believed.as_of == 9
--- /dev/null
+++ b/tests/forward/test_forwarding_path.py
@@ -0,0 +1,274 @@
+"""The forwarding entry and the agent against stand-ins of the users' platform."""
+
+import asyncio
+import json
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+
+from ebonyglade_agent.staging.service import Staging
+from ebonyglade_agent.staging.settings import StagingSettings
+from ebonyglade_entry.forwarding.service import Forwarding
+from ebonyglade_entry.forwarding.settings import ForwardSettings
+from helpers.users_platform import Store, Worker, config, route
+
+ROUTES = [
+    route("/read/", "plain"),
+    route("/book/", "plain", "non_idempotent", MaxAttempts=1),
+    route("/write/", "model", "streaming", TimeoutMs=4000),
+    route("/open/", "plain", Public=True),
+    route("/slow/", "plain", TimeoutMs=300),
+]
+
+
+def free_port():
+    with socket.socket() as opened:
+        opened.bind(("127.0.0.1", 0))
+        return opened.getsockname()[1]
+
+
+def settings(model, store, revoke_ms=5000, **sections):
+    address = f"tcp://127.0.0.1:{free_port()}"
+    return model.model_validate(
+        {
+            "instance": {"name": "n", "address": address, "zone": "z1"},
+            "store": {
+                "address": f"127.0.0.1:{store.port}",
+                "adapter": "ebonyglade_platform",
+                "wait_ms": 200,
+            },
+            "bounds": {
+                "revoke_ms": revoke_ms,
+                "repeat_ratio": 0.2,
+                "repeat_slack": 50,
+                "grace_s": 5,
+            },
+            **sections,
+        }
+    )
+
+
+class Path:
+    """The whole path, and a caller in front of it."""
+
+    def __init__(self, store, workers, entry, session, base):
+        self.store, self.workers, self.entry = store, workers, entry
+        self.session, self.base = session, base
+
+    async def ask(self, target, method="GET", key="key-1", body=b"", **headers):
+        sent = {"Host": "h.example", "X-Request-Id": "id-1", "X-Deadline-Ms": "3000"}
+        if key:
+            sent["Api-Key"] = key
+        sent |= headers
+        async with self.session.request(
+            method, self.base + target, headers=sent, data=body
+        ) as response:
+            return response.status, await response.read(), response.headers
+
+    async def until(self, check, within=3.0):
+        async with asyncio.timeout(within):
+            while not check():
+                await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def path(revoke_ms=5000):
+    async with AsyncExitStack() as stack:
+        store = Store()
+        workers = {
+            "plain-1": Worker("plain-1"),
+            "plain-2": Worker("plain-2"),
+            "prefill": Worker("prefill", "prefill"),
+            "decode": Worker("decode", "decode"),
+        }
+        for service in (store, *workers.values()):
+            await stack.enter_async_context(service)
+        await store.put("op/config", config(1, ROUTES))
+        for name, worker in workers.items():
+            service = name.partition("-")[0] if worker.stage is None else "model"
+            await store.put(f"servers/{name}", worker.entry(service))
+        callers, ready = free_port(), free_port()
+        listen = {
+            "callers": f"127.0.0.1:{callers}",
+            "ready": f"127.0.0.1:{ready}",
+        }
+        entry = Forwarding(settings(ForwardSettings, store, revoke_ms, listen=listen))
+        await stack.enter_async_context(entry)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        made = Path(store, workers, entry, session, f"http://127.0.0.1:{callers}")
+        made.ready = f"http://127.0.0.1:{ready}/ready"
+        await made.until(
+            lambda: len(entry.entry.belief.roster.endpoints) == len(workers)
+        )
+        yield made
+
+
+def seen(path):
+    return [request for worker in path.workers.values() for request in worker.seen]
+
+
+async def test_a_request_reaches_an_endpoint_unchanged_without_its_key():
+    async with path() as made:
+        status, body, headers = await made.ask(
+            "/read/x%2Fy?q=1", "POST", body=b"text", **{"X-Tenant": "forged"}
+        )
+        assert (status, body) == (200, b"echo text")
+        assert headers["X-Response-Signature"].startswith("signed-by-plain")
+        ((method, target, sent, sent_body),) = seen(made)
+        assert (method, target, sent_body) == ("POST", "/read/x%2Fy?q=1", b"text")
+        assert "Api-Key" not in sent
+        assert sent["X-Tenant"] == "team-a"
+        assert 0 < int(sent["X-Deadline-Ms"]) <= 2000
+
+
+async def test_keys_and_routes_that_nobody_published_are_refused():
+    async with path() as made:
+        assert (await made.ask("/read/x", key="wrong"))[0] == 401
+        assert (await made.ask("/read/x", key=""))[0] == 401
+        assert (await made.ask("/none/x"))[0] == 404
+        assert (await made.ask("/open/x", key=""))[0] == 200
+
+
+async def test_a_withdrawn_key_and_a_new_route_are_in_force_at_once():
+    async with path() as made:
+        await made.ask("/read/x")
+        routes = [*ROUTES, route("/new/", "plain")]
+        await made.store.put("op/config", config(2, routes, keys=("key-2",)))
+        await made.until(lambda: made.entry.entry.belief.table.version == 2)
+        assert (await made.ask("/read/x"))[0] == 401
+        assert (await made.ask("/new/x", key="key-2"))[0] == 200
+
+
+async def test_keys_are_not_taken_on_an_old_word():
+    async with path(revoke_ms=1500) as made:
+        made.store.down = True
+        await asyncio.sleep(1.2)
+        status, _, headers = await made.ask("/read/x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert (await made.ask("/none/x"))[0] == 503
+        async with made.session.get(made.ready) as response:
+            assert response.status == 503
+        made.store.down = False
+        await made.until(lambda: made.entry.entry.ready)
+        assert (await made.ask("/read/x"))[0] == 200
+
+
+async def test_a_booking_whose_answer_is_lost_is_not_sent_again():
+    async with path() as made:
+        for worker in made.workers.values():
+            worker.fail = "reset"
+        status, _, _ = await made.ask("/book/x", "POST", body=b"seat")
+        assert status == 502
+        assert len(seen(made)) == 1
+
+
+async def test_a_booking_that_did_not_run_goes_to_another_endpoint():
+    async with path() as made:
+        made.workers["plain-1"].fail = "not executed"
+        for _ in range(6):
+            assert (await made.ask("/book/x", "POST", body=b"seat"))[0] == 200
+
+
+async def test_an_unanswered_request_gets_its_final_answer_at_its_timeout():
+    async with path() as made:
+        for worker in made.workers.values():
+            worker.fail = "silent"
+        started = asyncio.get_running_loop().time()
+        status, _, _ = await made.ask("/slow/x")
+        assert status == 504
+        assert 0.2 < asyncio.get_running_loop().time() - started < 0.6
+
+
+MODEL = {"X-Model": "m", "X-Token-Count": "100,50", "X-Length-Hint": "20"}
+
+
+async def test_a_stream_is_prefilled_apart_and_passed_on_event_by_event():
+    async with path() as made:
+        status, body, headers = await made.ask("/write/x", "POST", body=b"p", **MODEL)
+        assert status == 200
+        assert body.count(b"data: decode") == 3
+        assert headers["X-Response-Signature"] == "signed-by-decode"
+        ((_, _, sent, _),) = made.workers["decode"].seen
+        address = made.workers["prefill"].entry("model")["Address"]
+        assert sent["X-Kv-Source"].startswith(f"{address}/handle-")
+        assert sent["X-Kv-Hold"].startswith("hold-")
+        assert not made.workers["decode"].holds
+
+
+async def test_a_stream_that_breaks_off_does_not_end_as_whole():
+    async with path() as made:
+        made.workers["decode"].cut_after = 2
+        try:
+            await made.ask("/write/x", "POST", body=b"p", **MODEL)
+        except aiohttp.ClientError:
+            return
+        raise AssertionError("the stream ended as if it was whole")
+
+
+async def test_a_caller_that_leaves_ends_the_run():
+    async with path() as made:
+        made.workers["decode"].events = 1000
+        made.workers["decode"].pause_s = 0.02
+        task = asyncio.ensure_future(made.ask("/write/x", "POST", body=b"p", **MODEL))
+        await made.until(lambda: made.workers["decode"].seen)
+        await asyncio.sleep(0.1)
+        task.cancel()
+        loads = made.entry.entry.loads
+        await made.until(lambda: loads.in_flight("decode") == 0, 0.5)
+
+
+async def test_a_forgotten_history_is_read_again_as_a_whole():
+    async with path() as made:
+        made.store.down = True
+        await asyncio.sleep(0.5)
+        await made.store.remove("servers/plain-2")
+        await made.store.put("op/config", config(2, ROUTES))
+        made.store.forget_history()
+        made.store.down = False
+        await made.until(lambda: made.entry.entry.belief.table.version == 2)
+        await made.until(
+            lambda: "plain-2" not in made.entry.entry.belief.roster.endpoints
+        )
+
+
+async def test_a_planned_stop_finishes_answers_and_refuses_what_comes_late():
+    async with path() as made:
+        made.workers["decode"].events = 60
+        made.workers["decode"].pause_s = 0.02
+        running = asyncio.ensure_future(
+            made.ask("/write/x", "POST", body=b"p", **MODEL)
+        )
+        await made.until(lambda: made.workers["decode"].seen)
+        stopping = asyncio.ensure_future(made.entry.drain())
+        await asyncio.sleep(0.1)
+        async with made.session.get(made.ready) as response:
+            assert response.status == 503
+        status, _, headers = await made.ask("/read/x")
+        assert (status, headers["Connection"]) == (200, "close")
+        status, body, _ = await running
+        assert (status, body.count(b"data:")) == (200, 60)
+        await stopping
+
+
+async def test_an_agent_gives_a_surplus_prefill_endpoint_to_decode():
+    async with AsyncExitStack() as stack:
+        store = Store()
+        first, second = Worker("a", "prefill"), Worker("b", "prefill")
+        for service in (store, first, second):
+            await stack.enter_async_context(service)
+        await store.put("op/config", config(1, ROUTES))
+        for worker in (first, second):
+            await store.put(f"servers/{worker.name}", worker.entry("model"))
+        address = first.entry("model")["Address"]
+        endpoint = {"address": address, "poll_ms": 50}
+        agent = Staging(settings(StagingSettings, store, endpoint=endpoint))
+        await stack.enter_async_context(agent)
+        async with asyncio.timeout(4.0):
+            while not first.orders:
+                await asyncio.sleep(0.05)
+        order = json.loads(json.dumps(first.orders[0]))
+        assert order["Stage"] == "decode"
+        assert order["FencingToken"] >= 2
+        assert second.orders == []
--- /dev/null
+++ b/tests/forward/test_small_parts.py
@@ -0,0 +1,118 @@
+import random
+
+from ebonyglade.forward.budget import BudgetTerms, FleetBudget
+from ebonyglade.forward.crashes import CRASHES_REFUSED, Crashes, fingerprint
+from ebonyglade.forward.events import EventCutter
+from ebonyglade.forward.loads import Loads
+from ebonyglade.forward.stages import prefills_wanted, wanted_change
+from ebonyglade.forward.types import Load, Stage
+from helpers.forwarding import endpoint
+
+
+def test_repeats_stay_within_the_published_bound_over_all_entries():
+    terms = BudgetTerms(ratio=0.2, window_s=10.0, slack=50.0)
+    entries = [FleetBudget(terms) for _ in range(4)]
+    rng = random.Random(2)
+    requests, repeats = [], []
+    for step in range(4000):
+        now = step / 50
+        budget = rng.choice(entries)
+        budget.request("s", now)
+        requests.append(now)
+        if budget.repeat("s", now, len(entries)):
+            repeats.append(now)
+    for start in range(0, 70):
+        within = [at for at in repeats if start <= at < start + 10]
+        asked = [at for at in requests if start <= at < start + 10]
+        assert len(within) <= 0.2 * len(asked) + 50
+    assert repeats
+
+
+def test_events_are_passed_on_whole():
+    cutter = EventCutter()
+    assert cutter.feed(b"id: 1\ndata: a\n") == b""
+    assert cutter.feed(b"\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert cutter.last_id == "1"
+    assert cutter.rest == b"id: 2\nda"
+    assert cutter.feed(b"ta: b\r\n\r\n") == b"id: 2\ndata: b\r\n\r\n"
+    assert cutter.last_id == "2"
+
+
+def test_a_request_that_crashed_endpoints_three_times_is_refused_everywhere():
+    here, there = Crashes(), Crashes()
+    item = fingerprint("w", "POST", "/a", b"x")
+    assert item != fingerprint("w", "POST", "/a", b"y")
+    here.crashed(item, 0.0)
+    here.crashed(item, 1.0)
+    there.crashed(item, 2.0)
+    assert not here.refused(item, 2.0)
+    here.heard("there", there.own(2.0))
+    assert CRASHES_REFUSED == 3
+    assert here.refused(item, 2.0)
+    here.gone("there")
+    assert not here.refused(item, 2.0)
+
+
+def test_a_request_that_worked_once_is_not_held_to_have_crashed_anything():
+    crashes = Crashes()
+    for _ in range(2):
+        crashes.crashed("f", 0.0)
+    crashes.worked("f")
+    crashes.crashed("f", 0.0)
+    assert not crashes.refused("f", 0.0)
+
+
+def test_the_least_loaded_sound_endpoint_is_chosen():
+    loads, rng = Loads(), random.Random(1)
+    listed = [endpoint("a"), endpoint("b"), endpoint("c")]
+    loads.told("a", Load(4, 2, 4), 0.0)
+    loads.begun("b")
+    assert loads.choose(listed, set(), "z", 0.1, rng).id == "c"
+    loads.ejections.failed("c", 0.1)
+    assert loads.choose(listed, set(), "z", 0.2, rng).id == "b"
+    assert loads.choose(listed, {"a", "b"}, "z", 0.2, rng).id == "c"
+    assert loads.choose(listed, {"a", "b", "c"}, "z", 0.2, rng) is None
+
+
+def test_an_endpoint_that_fails_more_than_the_others_is_left_alone():
+    loads, rng = Loads(), random.Random(1)
+    listed = [endpoint("grey"), endpoint("sound")]
+    for _ in range(20):
+        loads.answered("grey", failed=True)
+        loads.answered("sound", failed=False)
+    loads.begun("sound")
+    assert loads.choose(listed, set(), "z", 0.0, rng).id == "sound"
+
+
+def _model(name, stage, leaving=False):
+    return endpoint(name, "model", stage=stage, leaving=leaving)
+
+
+def test_all_agents_name_the_same_endpoint_to_change():
+    listed = [
+        _model("b", Stage.PREFILL),
+        _model("a", Stage.PREFILL),
+        _model("c", Stage.DECODE),
+        _model("d", Stage.DECODE),
+    ]
+    for _ in range(5):
+        random.shuffle(listed)
+        wanted = wanted_change(listed)
+        assert (wanted.endpoint, wanted.stage) == ("a", Stage.DECODE)
+
+
+def test_a_missing_prefill_endpoint_is_replaced_but_never_the_last_decode():
+    listed = [_model("c", Stage.DECODE), _model("d", Stage.DECODE)]
+    assert wanted_change(listed).stage is Stage.PREFILL
+    assert wanted_change([*listed, _model("p", Stage.PREFILL)]) is None
+    assert wanted_change([_model("c", Stage.DECODE)]) is None
+    assert prefills_wanted(1) == 0
+
+
+def test_a_leaving_endpoint_counts_for_nothing():
+    listed = [
+        _model("p", Stage.PREFILL, leaving=True),
+        _model("q", Stage.PREFILL),
+        _model("c", Stage.DECODE),
+    ]
+    assert wanted_change(listed) is None
--- /dev/null
+++ b/tests/helpers/users_platform.py
@@ -0,0 +1,262 @@
+"""Stand-ins of the users' platform: its store and its workers, over HTTP.
+
+They speak what the platform's pages say, as far as the tests need it.
+"""
+
+import asyncio
+import base64
+import json
+from itertools import count
+
+from aiohttp import web
+
+from ebonyglade_lab.standins.server import StandIn
+
+HISTORY = 100  # events that the store keeps
+
+
+class Store(StandIn):
+    """Holds documents, answers ranges in pages and watches."""
+
+    def __init__(self, page=2):
+        super().__init__()
+        self._page = page
+        self._revision = 1
+        self._items = {}
+        self._events = []
+        self._changed = asyncio.Condition()
+        self.down = False
+        self.reads = 0
+        self.app.router.add_get("/kv-range", self._range)
+        self.app.router.add_get("/kv-watch", self._watch)
+
+    async def put(self, key, document):
+        value = document if isinstance(document, bytes) else json.dumps(document)
+        raw = value if isinstance(value, bytes) else value.encode()
+        self._revision += 1
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(raw).decode(),
+            "Revision": self._revision,
+            "Created": self._revision,
+            "Lease": 0,
+        }
+        self._items[key] = item
+        await self._note(item)
+
+    async def remove(self, key):
+        self._revision += 1
+        del self._items[key]
+        await self._note({"Key": key, "Revision": self._revision, "Removed": True})
+
+    def forget_history(self):
+        self._events.clear()
+
+    async def _note(self, event):
+        self._events = [*self._events, event][-HISTORY:]
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _range(self, request):
+        self.reads += 1
+        if self.down:
+            return web.Response(status=503)
+        after = request.query.get("after", "")
+        prefix = request.query["PathPrefix"]
+        keys = sorted(
+            key for key in self._items if key > after and key.startswith(prefix)
+        )
+        return web.json_response(
+            {
+                "items": [self._items[key] for key in keys[: self._page]],
+                "Truncated": len(keys) > self._page,
+                "AsOf": self._revision,
+            }
+        )
+
+    async def _watch(self, request):
+        self.reads += 1
+        if self.down:
+            return web.Response(status=503)
+        after = int(request.query["after"])
+        wait_s = int(request.query["WaitMs"]) / 1000
+        oldest = self._events[0]["Revision"] if self._events else self._revision + 1
+        if after < self._revision and after + 1 < oldest:
+            return web.Response(status=410)
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: self._since(after))
+        except TimeoutError:
+            pass
+        return web.json_response({"events": self._since(after), "AsOf": self._revision})
+
+    def _since(self, after):
+        return [event for event in self._events if event["Revision"] > after]
+
+
+class Worker(StandIn):
+    """Runs requests, plain or streamed, and notes what it saw."""
+
+    def __init__(self, name, stage=None, slots=4):
+        super().__init__()
+        self.name = name
+        self.stage = stage
+        self.slots = slots
+        self.seen = []
+        self.handles = {}
+        self.holds = set()
+        self.orders = []
+        self.fail = None
+        self.events = 3
+        self.pause_s = 0.0
+        self.cut_after = None
+        self._ids = count(1)
+        self.app.router.add_post("/hold-take", self._hold)
+        self.app.router.add_delete("/hold-drop/{id}", self._drop)
+        self.app.router.add_delete("/kv-handle/{id}", self._free)
+        self.app.router.add_get("/report", self._report)
+        self.app.router.add_post("/order", self._order)
+        self.app.router.add_route("*", "/{path:.*}", self._serve)
+
+    def entry(self, service, **changes):
+        found = {
+            "Service": service,
+            "Address": f"127.0.0.1:{self.port}",
+            "Zone": "z1",
+            "Version": "v1",
+            "Slots": self.slots,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Seq": 1,
+            "born": 1_700_000_000_000,
+        }
+        if self.stage:
+            found["Stage"] = self.stage
+        return {**found, **changes}
+
+    async def _hold(self, request):
+        if len(self.holds) >= self.slots:
+            return web.Response(status=503)
+        hold = f"hold-{next(self._ids)}"
+        self.holds.add(hold)
+        return web.json_response({"Hold": hold})
+
+    async def _drop(self, request):
+        self.holds.discard(request.match_info["id"])
+        return web.Response()
+
+    async def _free(self, request):
+        self.handles.pop(request.match_info["id"], None)
+        return web.Response()
+
+    async def _report(self, request):
+        return web.json_response(
+            {
+                "Stage": self.stage,
+                "Models": [],
+                "Busy": False,
+                "Seq": len(self.orders),
+                "Queued": 0,
+                "Active": 0,
+                "KvUsed": 0,
+                "KvTotal": 80000,
+                "KvHandles": len(self.handles),
+                "Runs": [],
+                "born": 1_700_000_000_000,
+            }
+        )
+
+    async def _order(self, request):
+        self.orders.append(await request.json())
+        self.stage = self.orders[-1]["Stage"]
+        return web.Response(status=202)
+
+    async def _serve(self, request):
+        body = await request.read()
+        self.seen.append((request.method, request.raw_path, request.headers, body))
+        if request.headers.get("X-Target-Instance") != self.name:
+            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+        if self.fail == "not executed":
+            return self._answer(request, 503, b"", {"X-Not-Executed": "1"})
+        if self.fail == "reset":
+            request.transport.abort()
+            await asyncio.sleep(1)
+        if self.fail == "silent":
+            await asyncio.sleep(30)
+        if request.headers.get("X-Stage") == "prefill":
+            handle = f"handle-{next(self._ids)}"
+            self.handles[handle] = request.headers["X-Request-Id"]
+            given = json.dumps({"KvHandle": handle, "Tokens": 10, "Version": 1})
+            return self._answer(request, 200, given.encode())
+        if self.stage:
+            return await self._stream(request)
+        return self._answer(request, 200, b"echo " + body)
+
+    def _answer(self, request, status, body, headers=None):
+        return web.Response(
+            status=status,
+            body=body,
+            headers={**self._signed(request), **(headers or {})},
+        )
+
+    def _signed(self, request):
+        return {
+            "X-Request-Id": request.headers["X-Request-Id"],
+            "X-Response-Signature": f"signed-by-{self.name}",
+        }
+
+    async def _stream(self, request):
+        self.holds.discard(request.headers.get("X-Kv-Hold"))
+        response = web.StreamResponse(
+            headers={**self._signed(request), "Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        for number in range(1, self.events + 1):
+            if self.cut_after is not None and number > self.cut_after:
+                await response.write(b"id: 9\ndata: ha")
+                request.transport.abort()
+                return response
+            await response.write(f"id: {number}\ndata: {self.name}\n\n".encode())
+            await asyncio.sleep(self.pause_s)
+        await response.write_eof()
+        return response
+
+
+def config(version, routes, keys=("key-1",), services=("plain", "model"), **changes):
+    engine = {"Slots": 4, "KvCapacity": 80000, "KvHoldS": 0.5, "HoldMs": 2000.0}
+    known = {
+        "plain": {"Name": "plain", "HealthPath": "/health", "MaxConns": 50},
+        "model": {"Name": "model", "MaxConns": 50, "Engine": engine},
+    }
+    tenant = {"Name": "team-a", "ApiKeys": list(keys), "RatePerS": 0, "Burst": 0}
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [known[name] for name in services],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 100000,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [tenant],
+        **changes,
+    }
+
+
+def route(prefix, service="plain", kind="idempotent", **changes):
+    return {
+        "Name": f"r{prefix}",
+        "Host": "h.example",
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 2000,
+        "TargetLatencyMs": 500,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        "Public": False,
+        "Sticky": False,
+        "Resumable": False,
+        **changes,
+    }
