Replace a missing prefill endpoint sooner, and log why requests are refused

Cause: after a prefill endpoint left for good, nobody was ordered for 4 s, during which decode endpoints read all prompts (an incident of the Pham Gia site). The log did not tell the inputs of a refusal at admission, nor which endpoints a request was sent to.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -234,6 +234,7 @@
                 "request": request.headers.get(self._node.adapter.REQUEST_ID, ""),
                 "route": call.route.name if call and call.route else "",
                 "workspace": call.workspace_name if call else "",
+                "endpoints": ",".join(call.endpoints) if call else "",
                 "outcome": outcome,
                 "seconds": round(now - started, 4),
                 "store_revision": belief.as_of,
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -42,6 +42,7 @@
         fingerprint: what its repeats have in common.
         verdict: the worst that is known of its attempts.
         sent: whether it was sent to an endpoint that could run it.
+        endpoints: ids of the endpoints that it was sent to, in order.
         may_send: asked right before each sending.
     """
 
@@ -60,6 +61,7 @@
     fingerprint: str = ""
     verdict: Verdict = Verdict.NOT_RUN
     sent: bool = False
+    endpoints: list[str] = field(default_factory=list)
     may_send: Callable[[], bool] = field(default=lambda: True)
 
     @property
--- a/packages/ebonyglade/src/ebonyglade/forward/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/desk.py
@@ -96,6 +96,7 @@
             runs: whether the endpoint is to run it.
         """
         self.count("sendings")
+        call.endpoints.append(endpoint.id)
         sent = await self.port.send(call, endpoint, out, within)
         self._note(call, endpoint, sent, runs)
         return sent
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -129,6 +129,7 @@
         """Admit a request, send it, and return its answer or a refusal."""
         refusal = await self._admitted(call)
         if refusal is not None:
+            self._log_refusal(call, refusal)
             return Err(refusal)
         call.may_send = lambda: self._may_send(call)
         engine = call.service.engine is not None and call.facts.prompt is not None
@@ -138,6 +139,25 @@
             self._refund(call)
         return reply
 
+    def _log_refusal(self, call: ForwardCall, refusal: Refusal) -> None:
+        now = self.context.clock()
+        table = self.belief.table
+        logger.info(
+            "request refused",
+            extra={
+                "request": call.id,
+                "code": refusal.code,
+                "route": call.route.name if call.route else "",
+                "workspace": call.workspace_name,
+                "cost": _cost(call, call.workspace) if call.workspace else 0.0,
+                "level": self.rates.level(call.workspace_name),
+                "retry_after": refusal.retry_after,
+                "configuration": table.version if table else 0,
+                "store_revision": self.belief.as_of,
+                "store_age": round(min(self.belief.age(now), 1e6), 3),
+            },
+        )
+
     async def _admitted(self, call: ForwardCall) -> Refusal | None:
         """Admit a request; one that lacks few tokens waits for them."""
         until = call.arrived + RATE_WAIT_S
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -87,6 +87,11 @@
         """Tokens that this entry admitted since its start, by workspace."""
         return self._spent
 
+    def level(self, workspace: str) -> float:
+        """Return the tokens left of a workspace when it was last asked for."""
+        bucket = self._buckets.get(workspace)
+        return round(bucket.level, 1) if bucket else 0.0
+
     def take(self, workspace: Workspace, cost: float, now: float) -> float:
         """Take a request's tokens.
 
--- a/packages/ebonyglade/src/ebonyglade/forward/stages.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/stages.py
@@ -9,7 +9,7 @@
 # many times faster than this many decode endpoints can answer them.
 DECODES_PER_PREFILL = 12
 SETTLED_S = 1.0  # a surplus must last this long before anybody moves
-MISSING_S = 4.0  # so must a lack, since a restart mends it sooner
+MISSING_S = 1.5  # so must a lack, while endpoints that start are still listed
 
 
 @dataclass(frozen=True, slots=True)
