Close callers' idle connections at a planned stop

Ruled out: new connections, which are answered with a refusal.

Change: idle connections are closed, busy ones after their answer. The test fails without it.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -38,6 +38,7 @@
         self._node = node
         self._entry = entry
         self._runners: list[web.AppRunner] = []
+        self._busy: set[web.RequestHandler] = set()
         self.doorkeeper = Doorkeeper(LEAVE_S, max(0.0, grace_s - LEAVE_S - 0.5))
 
     async def on_start(self) -> None:
@@ -57,7 +58,12 @@
     def close_idle(self) -> None:
         """Close callers' connections, those under way after their answer."""
         for handler in list(self._runners[0].server.connections):
-            handler.close()
+            if handler in self._busy:
+                handler.close()
+            else:
+                # The library's `close` leaves an idle connection open, and what
+                # is sent over it would never be answered.
+                handler.force_close()
 
     async def drain(self) -> None:
         """Leave the balancer, then close the door, then finish what is open."""
@@ -108,6 +114,7 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         started = self._node.context.clock()
         self.doorkeeper.enter()
+        self._busy.add(request.protocol)
         call: ForwardCall | None = None
         outcome = "internal"
         try:
@@ -137,6 +144,7 @@
             return self._refuse(request, refuse("internal"), call.id if call else "")
         finally:
             self.doorkeeper.leave()
+            self._busy.discard(request.protocol)
             self._note(request, call, started, outcome)
 
     async def _read(
--- a/tests/forward/test_forwarding_path.py
+++ b/tests/forward/test_forwarding_path.py
@@ -252,6 +252,22 @@
         await stopping
 
 
+async def test_a_planned_stop_closes_connections_that_are_idle():
+    async with path() as made:
+        host, _, port = made.base.removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"GET /open/x HTTP/1.1\r\nHost: h.example\r\n"
+            b"X-Request-Id: id-1\r\nX-Deadline-Ms: 1000\r\n\r\n"
+        )
+        assert (await reader.readline()).split()[1] == b"200"
+        stopping = asyncio.ensure_future(made.entry.drain())
+        async with asyncio.timeout(4.0):
+            await reader.read()
+        await stopping
+        writer.close()
+
+
 async def test_an_agent_gives_a_surplus_prefill_endpoint_to_decode():
     async with AsyncExitStack() as stack:
         store = Store()
