--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -150,7 +150,7 @@
                 "route": call.route.name if call.route else "",
                 "workspace": call.workspace_name,
                 "cost": _cost(call, call.workspace) if call.workspace else 0.0,
-                "level": self.rates.level(call.workspace_name),
+                "tokens_left": self.rates.level(call.workspace_name),
                 "retry_after": refusal.retry_after,
                 "configuration": table.version if table else 0,
                 "store_revision": self.belief.as_of,
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -171,7 +171,9 @@
                     "tokens": tokens,
                     "endpoints": len(listed),
                     "waiting": len(line),
+                    "waited": round(desk.clock() - call.arrived, 3),
                     "store_revision": desk.belief.as_of,
+                    "store_age": round(desk.belief.age(desk.clock()), 3),
                 },
             )
             return Err(refuse(code, retry_after=RETRY_AFTER_S))
