Refuse at once what nobody can grant

Cause: a request whose workspace's rate had no owner waited for its whole deadline, 30 s, and was then refused with rate_unknown.

Change: a group without a grant for longer than a takeover needs refuses at once, with the length of a lease as Retry-After, and asks on. The test fails without the change (it waits).

Measured: the waiting request of the test is refused after the takeover time instead of 30 s, the next one after 0 s of virtual time.

--- a/packages/ebonyglade/src/ebonyglade/limits/links.py
+++ b/packages/ebonyglade/src/ebonyglade/limits/links.py
@@ -19,6 +19,8 @@
         epoch_seq: newest message taken from its owner.
         target: whom to ask.
         unanswered: when the first ask without an answer was sent.
+        ownerless: when the first ask without a grant was sent; answers that only
+            name another instance don't end it.
         failed: until when each silent instance is not asked.
     """
 
@@ -27,6 +29,7 @@
     epoch_seq: int = 0
     target: str = ""
     unanswered: float | None = None
+    ownerless: float | None = None
     failed: dict[str, float] = field(default_factory=dict)
 
     def choose(self, ownership: Ownership, now: float) -> str | None:
@@ -47,6 +50,13 @@
         """Note an ask."""
         if self.unanswered is None:
             self.unanswered = now
+        if self.ownerless is None:
+            self.ownerless = now
+
+    def granted(self) -> None:
+        """Note an owner's answer."""
+        self.answered()
+        self.ownerless = None
 
     def answered(self) -> None:
         """Note an answer."""
--- a/packages/ebonyglade/src/ebonyglade/limits/rights.py
+++ b/packages/ebonyglade/src/ebonyglade/limits/rights.py
@@ -55,6 +55,9 @@
         now = self._context.clock()
         wallet = self._wallet(workspace, now)
         wallet.wish(cost)
+        if self._ownerless(wallet.group, now):
+            self._ask_soon(wallet.group)
+            return Err(self._unknown())
         if urgent or not wallet.waiters:
             reservation = wallet.take(cost, now)
             if reservation is not None:
@@ -81,9 +84,30 @@
         for link in self._links.values():
             if link.check(now):
                 self._context.count("rate_owners_silent")
+            if self._ownerless(link.group, now):
+                self._refuse_waiting(link.group)
         for group in sorted(due):
             self._ask(group)
 
+    def _ownerless(self, group: int, now: float) -> bool:
+        """Return whether nobody grants rights, and waiting does not change it."""
+        link = self._links.get(group)
+        if link is None or link.ownerless is None:
+            return False
+        return now - link.ownerless > self._ownership.terms.takeover_s
+
+    def _unknown(self) -> Refusal:
+        return refuse("rate_unknown", retry_after=self._ownership.terms.lease_s)
+
+    def _refuse_waiting(self, group: int) -> None:
+        for wallet in self._wallets.values():
+            if wallet.group != group:
+                continue
+            for waiter in list(wallet.waiters):
+                wallet.leave(waiter)
+                if not waiter.granted.done():
+                    waiter.granted.set_result(Err(self._unknown()))
+
     async def _wait(self, wallet: Wallet, waiter: Waiter) -> Reserved:
         within = max(0.0, waiter.latest - self._context.clock())
         taken = False
@@ -111,7 +135,7 @@
 
     def _late(self, wallet: Wallet, waiter: Waiter) -> Refusal:
         if self._context.clock() - wallet.heard > KNOWN_S:
-            return refuse("rate_unknown")
+            return self._unknown()
         wait = wallet.wait(waiter.cost - max(0.0, wallet.free))
         return refuse("rate_exceeded", retry_after=max(wait, TICK_S))
 
@@ -170,7 +194,7 @@
             return
         link.epoch_seq = max(link.epoch_seq, message.seq)
         link.target = sender.instance
-        link.answered()
+        link.granted()
         valid_until = sent + message.valid_for * (1 - 2 * DRIFT)
         for line in message.lines:
             self._take_line(line, message.seq, valid_until)
--- a/packages/ebonyglade/src/ebonyglade/ownership/terms.py
+++ b/packages/ebonyglade/src/ebonyglade/ownership/terms.py
@@ -34,6 +34,15 @@
         """Seconds after its start for which a voter grants nothing."""
         return self.lease_s * (1 + 2 * DRIFT)
 
+    @property
+    def takeover_s(self) -> float:
+        """Seconds in which a group has an owner again, if a quorum can be reached.
+
+        After a start of the whole fleet it is the time for which removed instances
+        still count, and a lease that is tried for twice.
+        """
+        return self.settle_s + 2 * self.abstain_s
+
     @property
     def settle_s(self) -> float:
         """Seconds for which a removed instance still counts as listed."""
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -94,7 +94,7 @@
     reply, port, _ = plain([answer(b"a", broken=True)], Repeat.ONCE)
     assert reply.err_value.code == "answer_broken"
     broken = [answer(b"a", broken=True), answer(b"whole")]
-    reply, port, _ = plain(broken, Repeat.IDEMPOTENT)
+    reply, _, _ = plain(broken, Repeat.IDEMPOTENT)
     assert reply.ok_value.body == b"whole"
     broken = [answer(b"a", broken=True), answer(b"whole")]
     reply, _, _ = plain(broken, Repeat.IDEMPOTENT, max_attempts=1)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,6 +13,7 @@
 from helpers.rates import (
     BURST,
     RATE,
+    TERMS,
     TOLERANCE,
     WORKSPACE,
     Spent,
@@ -236,6 +237,33 @@
     within(spent, world)
 
 
+def test_what_nobody_can_grant_is_refused_at_once_and_granted_after_the_cut():
+    async def scenario():
+        world, spent = rate_world(), Spent()
+        await ready(world)
+        alone = others(world, owner_of(world))[0]
+        cut(world, {alone}, set(world.nodes) - {alone})
+        # It is not known yet that nobody answers, so that this one waits.
+        waits = admit(world, alone, spent, 1000, deadline=30.0)
+        await asyncio.sleep(TERMS.takeover_s + TERMS.lease_s)
+        assert waits.done()
+        started = world.now()
+        await admit(world, alone, spent, 1000, deadline=30.0)
+        took = world.now() - started
+        refused = list(spent.refused), list(spent.retry_after)
+        heal(world)
+        for _ in range(40):
+            await admit(world, alone, spent, 10, deadline=0.2)
+            await asyncio.sleep(0.2)
+        return took, refused, spent
+
+    took, (codes, retry_after), spent = run(scenario())
+    assert codes == ["rate_unknown", "rate_unknown"]
+    assert retry_after == [TERMS.lease_s, TERMS.lease_s]
+    assert took == 0
+    assert spent.times
+
+
 async def planned_stop(world, spent):
     """The owner drains while a lonely entry has most of the burst in hand."""
     await asyncio.sleep(2 * LONG_TERMS.lease_s)
