--- a/packages/ebonyglade-agent/src/ebonyglade_agent/commands.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/commands.py
@@ -25,7 +25,7 @@
         """
         loaded = load(settings, StagingSettings)
         logs.configure(loaded.logs, loaded.instance.name)
-        asyncio.run(serve(Staging(loaded)))
+        asyncio.run(serve(Staging(loaded, settings)))
 
 
 def main() -> None:
--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -21,8 +21,9 @@
 class Staging(Service):
     """Orders the endpoint beside it and tells entries of its memory."""
 
-    def __init__(self, settings: StagingSettings) -> None:
+    def __init__(self, settings: StagingSettings, path: str = "") -> None:
         super().__init__()
+        self._path = path
         self._settings = settings
         self.node = ForwardNode(settings)
         self.keeper: Keeper | None = None
@@ -90,6 +91,10 @@
             logger.info(text, extra={"reason": reason})
         self._reached = reached
 
+    def reload(self) -> None:
+        """Take changed settings, as far as that needs no restart."""
+        self.node.reload(self._path, self.keeper.members)
+
     async def drain(self) -> None:
         """Tell the others; no request depends on this process."""
         self.keeper.members.farewell()
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/commands.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/commands.py
@@ -25,7 +25,7 @@
         """
         loaded = load(settings, ForwardSettings)
         logs.configure(loaded.logs, loaded.instance.name)
-        asyncio.run(serve(Forwarding(loaded)))
+        asyncio.run(serve(Forwarding(loaded, settings)))
 
 
 def main() -> None:
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -20,8 +20,9 @@
 class Forwarding(Service):
     """Serves callers and sends their requests to endpoints itself."""
 
-    def __init__(self, settings: ForwardSettings) -> None:
+    def __init__(self, settings: ForwardSettings, path: str = "") -> None:
         super().__init__()
+        self._path = path
         self._settings = settings
         self.node = ForwardNode(settings)
         self.entry: ForwardEntry | None = None
@@ -60,6 +61,10 @@
         await self.add_runtime_dependency(self.server)
         logger.info("started", extra={"seeds": len(self._settings.seeds)})
 
+    def reload(self) -> None:
+        """Take changed settings, as far as that needs no restart."""
+        self.node.reload(self._path, self.entry.members)
+
     async def drain(self) -> None:
         """Leave the balancer and finish what is under way."""
         logger.info("stopping", extra={"open": self.server.doorkeeper.open_requests})
--- a/packages/ebonyglade-node/src/ebonyglade_node/commands.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/commands.py
@@ -95,6 +95,8 @@
 async def serve(service: Service) -> None:
     """Run a service until a signal, drain it and stop it.
 
+    SIGHUP calls the service's `reload`, where it has one.
+
     A second signal ends the drain; answers still under way are cut off then.
 
     Raises:
@@ -102,6 +104,8 @@
     """
     stop, again = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
+    reload = getattr(service, "reload", _ignore_reload)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, _note_signal, stop, again)
     try:
@@ -118,6 +122,10 @@
     await service.stop()
 
 
+def _ignore_reload() -> None:
+    logger.info("settings are read at the start only; restart to change them")
+
+
 def _note_signal(stop: asyncio.Event, again: asyncio.Event) -> None:
     (again if stop.is_set() else stop).set()
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -1,5 +1,6 @@
 """Link, timers, metrics and store of a process behind an adapter."""
 
+import logging
 import random
 import secrets
 import time
@@ -7,8 +8,10 @@
 from mode import Service
 
 from ebonyglade.context import Context, Identity
+from ebonyglade.errors import UserError
 from ebonyglade.forward.adapter import load_adapter
 from ebonyglade.forward.belief import Belief
+from ebonyglade.forward.members import Members
 from ebonyglade.invariants import Invariants
 from ebonyglade_node import logs
 from ebonyglade_node.clocks import suspended_clock
@@ -17,9 +20,12 @@
 from ebonyglade_node.forward_settings import ForwardNodeSettings
 from ebonyglade_node.link import Link
 from ebonyglade_node.metrics import Metrics
+from ebonyglade_node.settings import load
 from ebonyglade_node.store_reader import StoreReader
 from ebonyglade_node.timers import TimerRunner
 
+logger = logging.getLogger(__name__)
+
 INCARNATION_BYTES = 8
 CONNECT_S = 0.3  # a machine of the same region answers a new connection sooner
 
@@ -81,6 +87,34 @@
         for service in (self.link, self.runner, reader):
             await self.add_runtime_dependency(service)
 
+    def reload(self, path: str, members: Members) -> None:
+        """Read the settings file again and greet the seeds that it names now.
+
+        All other settings hold from the start of the process; a change is told.
+
+        Args:
+            path: of the settings file.
+            members: who greets the seeds.
+        """
+        try:
+            loaded = load(path, type(self.settings))
+        except UserError as error:
+            logger.warning("settings rejected", extra={"reason": str(error)})
+            return
+        changed = sorted(
+            name
+            for name in type(loaded).model_fields
+            if getattr(loaded, name) != getattr(self.settings, name)
+        )
+        members.greet(loaded.seed_addresses())
+        logger.info(
+            "settings reloaded",
+            extra={
+                "seeds": len(loaded.seeds),
+                "needs_restart": ",".join(name for name in changed if name != "seeds"),
+            },
+        )
+
     async def on_stop(self) -> None:
         """Close the HTTP client."""
         if self.client is not None:
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -74,11 +74,16 @@
     def start(self) -> None:
         """Greet the seeds and go on sending beats."""
         self.context.handle({Beat: self._on_beat, Farewell: self._on_farewell})
-        for seed in self.seeds:
-            self._learn(seed, self.context.clock())
+        self.greet(self.seeds)
         self.context.every(BEAT_S, self.tick)
         self.tick(self.context.clock())
 
+    def greet(self, seeds: tuple[str, ...]) -> None:
+        """Send beats to seeds from now on, beside those known before."""
+        self.seeds = tuple(dict.fromkeys((*self.seeds, *seeds)))
+        for seed in seeds:
+            self._learn(seed, self.context.clock())
+
     def all(self) -> list[Member]:
         """Return all members that were heard and are not forgotten."""
         return [item for item in self._members.values() if item.incarnation]
--- a/tests/forward/test_forwarding_path.py
+++ b/tests/forward/test_forwarding_path.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
+import tomli_w
 
 from ebonyglade_agent.staging.service import Staging
 from ebonyglade_agent.staging.settings import StagingSettings
@@ -268,6 +269,19 @@
         writer.close()
 
 
+async def test_changed_settings_lead_to_new_seeds_and_broken_ones_to_none(tmp_path):
+    async with path() as made:
+        changed = made.entry.node.settings.model_dump(mode="json")
+        changed["seeds"] = ["127.0.0.9:1"]
+        file = tmp_path / "entry.toml"
+        file.write_text(tomli_w.dumps(changed))
+        made.entry.node.reload(str(file), made.entry.entry.members)
+        assert any("127.0.0.9" in seed for seed in made.entry.entry.members.seeds)
+        file.write_text("seeds = 3")
+        made.entry.node.reload(str(file), made.entry.entry.members)
+        assert (await made.ask("/read/x"))[0] == 200
+
+
 async def test_an_agent_gives_a_surplus_prefill_endpoint_to_decode():
     async with AsyncExitStack() as stack:
         store = Store()
