Let prefill endpoints grow with the pool, with hysteresis

Ruled out: waiting for room (0.03 s for nine in ten).

Change: one prefill endpoint for four that decode; at the border between two numbers nothing changes, and a pool of prefill endpoints alone gives one to decode.

--- a/tests/forward/test_forwarding_path.py
+++ b/tests/forward/test_forwarding_path.py
@@ -286,10 +286,11 @@
     async with AsyncExitStack() as stack:
         store = Store()
         first, second = Worker("a", "prefill"), Worker("b", "prefill")
-        for service in (store, first, second):
+        third = Worker("c", "decode")
+        for service in (store, first, second, third):
             await stack.enter_async_context(service)
         await store.put("op/config", config(1, ROUTES))
-        for worker in (first, second):
+        for worker in (first, second, third):
             await store.put(f"servers/{worker.name}", worker.entry("model"))
         address = first.entry("model")["Address"]
         endpoint = {"address": address, "poll_ms": 50}
--- a/tests/forward/test_small_parts.py
+++ b/tests/forward/test_small_parts.py
@@ -107,6 +107,7 @@
     assert wanted_change([*listed, _model("p", Stage.PREFILL)]) is None
     assert wanted_change([_model("c", Stage.DECODE)]) is None
     assert prefills_wanted(1) == 0
+    assert wanted_change([_model("p", Stage.PREFILL)]).stage is Stage.DECODE
 
 
 def test_a_leaving_endpoint_counts_for_nothing():
@@ -116,3 +117,21 @@
         _model("c", Stage.DECODE),
     ]
     assert wanted_change(listed) is None
+
+
+def _pool(prefills, decodes):
+    return [_model(f"p{n}", Stage.PREFILL) for n in range(prefills)] + [
+        _model(f"q{n}", Stage.DECODE) for n in range(decodes)
+    ]
+
+
+def test_prompts_of_a_large_pool_do_not_queue_at_one_prefill_endpoint():
+    # Eight endpoints at the peak: one prefill endpoint is as good as full.
+    assert wanted_change(_pool(1, 8)).stage is Stage.PREFILL
+    assert wanted_change(_pool(3, 5)).stage is Stage.DECODE
+    assert wanted_change(_pool(2, 6)) is None
+
+
+def test_an_endpoint_that_comes_or_goes_at_the_border_changes_no_stage():
+    for prefills, decodes in ((2, 6), (2, 5), (1, 6), (1, 5), (1, 2), (1, 1)):
+        assert wanted_change(_pool(prefills, decodes)) is None
