--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -53,7 +53,7 @@
             self._settings.listen, self.node, self.entry, bounds.grace_s
         )
         metrics = self.node.metrics
-        metrics.gauge("waiting", self.entry.generation.waiting)
+        metrics.gauge("waiting", self.entry.generation.reserver.waiting)
         metrics.gauge("open_requests", lambda: self.server.doorkeeper.open_requests)
         metrics.gauge("members", lambda: len(self.entry.members.all()))
         await self.node.join(self.entry.belief)
--- a/packages/ebonyglade/src/ebonyglade/forward/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/desk.py
@@ -1,9 +1,10 @@
 """What all dispatchers share: choosing, sending, and what a failure means."""
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
@@ -20,7 +21,7 @@
 )
 from ebonyglade.forward.crashes import Crashes
 from ebonyglade.forward.loads import Loads
-from ebonyglade.forward.types import Endpoint, Outgoing, Stage
+from ebonyglade.forward.types import ControlCall, Endpoint, Outgoing, Stage
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, Verdict, refuse, worst
 
@@ -28,6 +29,7 @@
 
 # A dispatcher that finds no time left for a useful answer stops here.
 LEAST_S = 0.02
+CONTROL_S = 0.5  # a call that runs nothing is answered within this time
 
 
 @dataclass(slots=True)
@@ -45,6 +47,7 @@
         rng: source of randomness.
         zone: this instance's availability zone.
         entries: returns how many entries there are.
+        count: adds to a named counter.
     """
 
     adapter: Adapter
@@ -58,6 +61,7 @@
     zone: str
     entries: Callable[[], int]
     count: Callable[..., None]
+    _background: set[asyncio.Task] = field(default_factory=set)
 
     def choose(
         self, call: ForwardCall, excluded: set[str], stage: Stage | None = None
@@ -101,6 +105,12 @@
         self._note(call, endpoint, sent, runs)
         return sent
 
+    def later(self, endpoint: Endpoint, call: ControlCall) -> None:
+        """Make a call whose answer nobody waits for."""
+        task = asyncio.ensure_future(self.port.control(endpoint, call, CONTROL_S))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def outgoing(self, call: ForwardCall, endpoint: Endpoint) -> Outgoing:
         """Return what an endpoint is told of a request at least."""
         return Outgoing(
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -282,7 +282,7 @@
             self.rates.heard(member.address, member.incarnation, beat.spent, now)
             self.crashes.heard(member.address, beat.crashes)
         if beat.engine is not None:
-            self.generation.book.heard(beat.engine, now)
+            self.generation.reserver.book.heard(beat.engine, now)
 
     def _on_gone(self, member: Member) -> None:
         self.rates.gone(member.address)
@@ -292,7 +292,7 @@
         self.rates.keep({item.address for item in self.members.all()})
         listed = self.belief.roster.endpoints
         self.loads.keep(listed)
-        self.generation.book.keep(listed)
+        self.generation.reserver.book.keep(listed)
         self.rooms.keep(set(listed))
 
 
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -4,8 +4,9 @@
 from result import Err, Ok
 
 from ebonyglade.forward.call import Answer, BrokenOff, Failure, Stream, Trouble
-from ebonyglade.forward.generation import PATIENCE_S, GenerationDispatcher
+from ebonyglade.forward.generation import GenerationDispatcher
 from ebonyglade.forward.plain import PlainDispatcher
+from ebonyglade.forward.reserving import PATIENCE_S
 from ebonyglade.forward.rooms import Rooms
 from ebonyglade.forward.types import AnswerFacts, Repeat, Stage
 from ebonyglade.verdict import Verdict
@@ -91,7 +92,7 @@
 
 
 def test_a_broken_answer_is_repeated_only_where_it_may_be():
-    reply, port, _ = plain([answer(b"a", broken=True)], Repeat.ONCE)
+    reply, _, _ = plain([answer(b"a", broken=True)], Repeat.ONCE)
     assert reply.err_value.code == "answer_broken"
     broken = [answer(b"a", broken=True), answer(b"whole")]
     reply, _, _ = plain(broken, Repeat.IDEMPOTENT)
