Wait for a request's log line before the logs are searched

Ruled out: a lost line; the queue drops only when 10,000 lines wait.

Change: the test waits up to 5 s for the line, and then searches all logs as before.

--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -9,6 +10,8 @@
 from ebonyglade_lab.fleet import FleetSize
 from ebonyglade_lab.processes import new_processes
 
+LOGGED_S = 5.0  # in which a line must be written
+
 STOPS = {"http": {"leave_s": 0.1}, "endpoint": {"leave_s": 0.1}}
 
 
@@ -123,6 +126,10 @@
 def test_logs_hold_no_key_and_no_prompt(fleet):
     key, prompt = "demo-key-of-the-aula-team", "a very private prompt"
     operator.ask(fleet.plan, prompt, key)
+    # A thread writes the lines, the request's own line among the last.
+    until = time.monotonic() + LOGGED_S
+    while "status=" not in fleet.log("entry-1") and time.monotonic() < until:
+        time.sleep(0.05)
     for item in fleet.plan.instances:
         log = fleet.log(item.name)
         assert key not in log
