Drop what nobody reads in the forwarding path

Cause: a read of the whole change found fields that are set and read nowhere (whether a call was sent, two of a failure, one of the copies, the idle time that the HTTP client reads itself), and a copy of a beat field by field.

Change: they are gone; the beat is copied by the codec library. Behaviour as before: an overload's Retry-After was always the default.

--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -18,7 +18,6 @@
 from ebonyglade.forward.types import ControlCall, Endpoint, Outgoing
 from ebonyglade_node.endpoint_client import EndpointClient, NotSent, Sending
 
-MISDIRECTED = 421
 NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, NotSent)
 
 
@@ -69,10 +68,7 @@
         if not facts.ran:
             # Its body says nothing more; a short one leaves the connection usable.
             response.release()
-            misdirected = response.status == MISDIRECTED
-            return Err(
-                Failure(Trouble.REJECTED, f"status {response.status}", misdirected)
-            )
+            return Err(Failure(Trouble.REJECTED, f"status {response.status}"))
         headers = [(str(name), str(value)) for name, value in response.headers.items()]
         return Ok(
             Answer(
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -41,7 +41,6 @@
         cost: tokens that it counts.
         fingerprint: what its repeats have in common.
         verdict: the worst that is known of its attempts.
-        sent: whether it was sent to an endpoint that could run it.
         endpoints: ids of the endpoints that it was sent to, in order.
         may_send: asked right before each sending.
     """
@@ -60,7 +59,6 @@
     cost: float = 0.0
     fingerprint: str = ""
     verdict: Verdict = Verdict.NOT_RUN
-    sent: bool = False
     endpoints: list[str] = field(default_factory=list)
     may_send: Callable[[], bool] = field(default=lambda: True)
 
@@ -106,14 +104,10 @@
     Attributes:
         trouble: how it failed.
         reason: for the log.
-        elsewhere: whether the address now belongs to another endpoint.
-        retry_after: seconds after which the endpoint asks to be tried again.
     """
 
     trouble: Trouble
     reason: str
-    elsewhere: bool = False
-    retry_after: float | None = None
 
     @property
     def verdict(self) -> Verdict:
--- a/packages/ebonyglade/src/ebonyglade/forward/copies.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/copies.py
@@ -29,7 +29,6 @@
 
     context: Context
     belief: Belief
-    _asked_at: float = float("-inf")
     _asked: dict[str, float] = field(default_factory=dict)
 
     def start(self) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/desk.py
@@ -125,7 +125,7 @@
             if self.left(call) <= LEAST_S:
                 return refuse("not_started")
             if failure is not None and failure.trouble is Trouble.REJECTED:
-                return refuse("overloaded", retry_after=failure.retry_after)
+                return refuse("overloaded")
             return refuse("no_endpoint" if failure is None else "endpoint_down")
         if self.left(call) <= LEAST_S:
             return refuse("deadline_exceeded")
@@ -158,7 +158,6 @@
             self.loads.ejections.worked([endpoint.id])
             if answer.facts.load is not None:
                 self.loads.told(endpoint.id, answer.facts.load, now)
-            call.sent = call.sent or runs
             return
         failure = sent.err_value
         self.count(f"failed_{failure.trouble.value}")
@@ -181,17 +180,15 @@
         self.loads.ejections.failed(endpoint.id, now)
 
     def _rejected(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
-        call.sent = True
+        """An endpoint that is full is sound."""
 
     def _lost(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
         self.loads.ejections.failed(endpoint.id, now)
         self.loads.answered(endpoint.id, failed=True)
         self.crashes.crashed(call.fingerprint, now)
-        call.sent = True
 
     def _late(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
         self.loads.answered(endpoint.id, failed=True)
-        call.sent = True
 
 
 _AFTERMATH = {
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ebonyglade.context import Context
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import Beat, Farewell, KnownMember
@@ -180,16 +182,4 @@
 
 
 def _with_echo(beat: Beat, echo: float) -> Beat:
-    if echo < 0:
-        return beat
-    return Beat(
-        beat.sent_at,
-        echo,
-        beat.entry,
-        beat.zone,
-        beat.members,
-        beat.store,
-        beat.spent,
-        beat.engine,
-        beat.crashes,
-    )
+    return msgspec.structs.replace(beat, echo=echo)
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -237,7 +237,6 @@
         signed: whether the endpoint signed the answer.
         load: the endpoint's load, if it tells it.
         encoded: whether the body is encoded, which nobody asked for.
-        idle_s: how long the endpoint keeps an idle connection, if it says so.
     """
 
     request_id: str
@@ -245,7 +244,6 @@
     signed: bool
     load: Load | None = None
     encoded: bool = False
-    idle_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
