Keep a fuzzer seed's schedule when timing changes

Cause: one generator served the schedule, the arguments of rules and callbacks that run at times the fleet decides, so that a change of the fleet's timing gave every seed other faults; the fourteen red seeds stopped repeating for that reason alone. Change: each step draws from a generator of its own, its length and whether it is a fault first, before anything that depends on the fleet's state. Figures: in a network with eight times the jitter, the 600 steps of a seed caused other faults before (the test failed) and the same faults at the same times after. Conclusion: a red seed from now on stays a check of the same schedule. Rules that choose among what is free may still differ where a planned stop ends at another time.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/driver.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/fuzz/driver.py
@@ -1,6 +1,7 @@
 """Chooses rules by a seed and runs them until a check fails."""
 
 import gc
+import random
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -42,36 +43,43 @@
 
 
 class Driver:
-    """Applies rules to a run; each epoch has its own mixture of faults."""
+    """Applies rules to a run; each epoch has its own mixture of faults.
+
+    Every step draws from a generator of its own, and its length before anything
+    that depends on the fleet's state. The schedule of a seed therefore stays the
+    same when the fleet's timing changes.
+    """
 
     def __init__(self, seed: int) -> None:
         self.run = Run(seed)
         self.applied: Counter[str] = Counter()
+        self._seed = seed
         self._kinds: list[str] = []
 
     async def step(self, number: int) -> None:
         """Apply one rule and let some time pass."""
+        rng = random.Random(f"{self._seed}/{number}")
+        self.run.rng = rng
+        seconds = rng.expovariate(1 / MEAN_STEP_S)
         if number % EPOCH_STEPS == 0:
-            self._new_epoch()
-        name, rule = self._choose()
+            self._new_epoch(rng)
+        name, rule = self._choose(rng)
         self.applied[name] += 1
         rule.apply(self.run)
-        await self.run.pass_time(self.run.rng.expovariate(1 / MEAN_STEP_S))
+        await self.run.pass_time(seconds)
         self.run.collect_garbage(number)
 
-    def _new_epoch(self) -> None:
-        rng = self.run.rng
+    def _new_epoch(self, rng: random.Random) -> None:
         calm = rng.random() < CALM_EPOCHS
         self._kinds = (
             [] if calm else [name for name in FAULTS if rng.random() < FAULT_SHARE]
         )
 
-    def _choose(self) -> tuple[str, Rule]:
-        rng = self.run.rng
-        wanted = self._kinds and self.run.faults < MOST_FAULTS
+    def _choose(self, rng: random.Random) -> tuple[str, Rule]:
+        drawn = rng.random() < FAULTS_PER_STEP
         table = LOAD
         names = list(LOAD)
-        if wanted and rng.random() < FAULTS_PER_STEP:
+        if drawn and self._kinds and self.run.faults < MOST_FAULTS:
             table, names = FAULTS, self._kinds
         weights = [table[name].weight for name in names]
         name = rng.choices(names, weights)[0]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -45,6 +45,29 @@
     assert first.stdout and first.stdout == second.stdout
 
 
+def faults_of(seed, steps, monkeypatch, delay_s):
+    """Return the faults of a seed with their begin, in a network of some delay."""
+    begun = []
+    begin = Run.begin
+
+    def noted(run, name, instances, seconds, undo):
+        begun.append((round(run.now, 6), name, tuple(instances), round(seconds, 6)))
+        begin(run, name, instances, seconds, undo)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Run, "begin", noted)
+        patch.setattr("ebonyglade_lab.virtual.network.JITTER_S", delay_s)
+        run_seed(seed, steps)
+    return begun
+
+
+def test_the_schedule_of_a_seed_does_not_depend_on_timing(monkeypatch):
+    quick = faults_of(4, 600, monkeypatch, 0.0005)
+    slow = faults_of(4, 600, monkeypatch, 0.004)
+    assert len(quick) > 5
+    assert quick == slow
+
+
 def test_command_tells_of_a_violation(monkeypatch, capsys):
     monkeypatch.setattr("ebonyglade_lab.fuzz.checks.LATE_ANSWER_S", -1000.0)
     assert not fuzz("1:2", steps=20, jobs=1)
