Count on time from a caller's first attempt, over all entries

Cause: a request was taken for a repeat when its caller waited for less time than the longest seen on its route. Change: entries remember fingerprints of the requests that they refuse, tell each other at once, and a request counts as waiting since its first attempt.

--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -34,6 +34,8 @@
         headers: the caller's headers.
         body: whole body.
         arrived: seconds; by the clock that all times here are of.
+        first: when its caller asked for the first time, if that was refused;
+            None for the first attempt.
         route: route that serves it.
         service: service that the route's shares gave it.
         workspace: on whose behalf; None on open routes.
@@ -52,6 +54,7 @@
     headers: Headers
     body: bytes
     arrived: float
+    first: float | None = None
     route: Route | None = None
     service: Service | None = None
     workspace: Workspace | None = None
@@ -78,6 +81,11 @@
         own = self.workspace.priority if self.workspace else None
         return self.route.priority if own is None else own
 
+    @property
+    def asked(self) -> float:
+        """When its caller asked for the first time."""
+        return self.arrived if self.first is None else self.first
+
     @property
     def repeatable(self) -> bool:
         """Whether it may run more than once."""
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -22,11 +22,13 @@
 from ebonyglade.forward.members import Member, Members
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rates import FleetRates, RateTerms
+from ebonyglade.forward.returns import Returns
 from ebonyglade.forward.rooms import Rooms
 from ebonyglade.forward.types import Workspace
 from ebonyglade.ports import Sender
 from ebonyglade.verdict import Refusal, Verdict, refuse
-from ebonyglade.wire.fleet import Beat, Spent
+from ebonyglade.wire.base import Message
+from ebonyglade.wire.fleet import Beat, Refused, Spent
 
 logger = logging.getLogger(__name__)
 
@@ -76,6 +78,7 @@
         self.copies = Copies(context, self.belief)
         self.rates = FleetRates(terms.rates)
         self.crashes = Crashes()
+        self.returns = Returns()
         self.loads = Loads()
         self.members = Members(context, seeds, self._compose)
         self.desk = Desk(
@@ -100,7 +103,7 @@
             self._find_route,
             self._identify,
             self._choose_service,
-            self._check_crashes,
+            self._check_repeat,
             self._take_tokens,
         )
 
@@ -115,7 +118,7 @@
         ]
         self.members.on_gone.append(self._on_gone)
         self.members.start()
-        self.context.handle({Spent: self._on_spent})
+        self.context.handle({Spent: self._on_spent, Refused: self._on_refused})
         self.context.every(KEEP_S, self._keep)
         self.context.every(KEEP_S / 5, self.belief.tick)
 
@@ -136,6 +139,8 @@
         reply = await dispatcher.run(call)
         if isinstance(reply, Err) and call.verdict is Verdict.NOT_RUN:
             self._refund(call)
+            if engine:
+                self._tell_refused(call)
         return reply
 
     def _log_refusal(self, call: ForwardCall, refusal: Refusal) -> None:
@@ -214,12 +219,13 @@
         self.desk.budget.request(name, self.context.clock())
         return None
 
-    def _check_crashes(self, call: ForwardCall) -> Refusal | None:
+    def _check_repeat(self, call: ForwardCall) -> Refusal | None:
         call.fingerprint = fingerprint(
             call.workspace_name, call.method, call.target, call.body
         )
         if self.crashes.refused(call.fingerprint, self.context.clock()):
             return refuse("crashes_endpoints")
+        call.first = self.returns.first(call.fingerprint, call.arrived)
         return None
 
     def _take_tokens(self, call: ForwardCall) -> Refusal | None:
@@ -238,10 +244,13 @@
         """Tell the other entries at once of a request that takes much."""
         if workspace.rate <= 0 or cost < TOLD_PART * workspace.burst:
             return
+        self._tell(Spent(workspace.name, self.rates.spent[workspace.name]))
+
+    def _tell(self, message: Message) -> None:
+        """Tell the other entries at once, unless there are too many."""
         entries = [item for item in self.members.all() if item.entry]
         if len(entries) > MOST_TOLD:
             return
-        message = Spent(workspace.name, self.rates.spent[workspace.name])
         for member in entries:
             self.context.send(member.address, message)
 
@@ -250,6 +259,15 @@
             sender.instance, sender.incarnation, message.workspace, message.total
         )
 
+    def _tell_refused(self, call: ForwardCall) -> None:
+        self.returns.refused(call.fingerprint, call.asked)
+        since = round(self.context.clock() - call.asked, 3)
+        self._tell(Refused(call.fingerprint, since))
+
+    def _on_refused(self, sender: Sender, message: Refused) -> None:
+        first = self.context.clock() - message.since_s
+        self.returns.refused(message.fingerprint, first)
+
     def _refund(self, call: ForwardCall) -> None:
         if call.workspace is not None and call.cost:
             self.rates.refund(call.workspace, call.cost)
--- a/packages/ebonyglade/src/ebonyglade/forward/reserving.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/reserving.py
@@ -53,7 +53,6 @@
     rooms: Rooms
     book: MemoryBook = field(default_factory=MemoryBook)
     _lines: dict[str, Line] = field(default_factory=dict)
-    _longest_wait: dict[str, float] = field(default_factory=dict)
 
     async def reserve(
         self, call: ForwardCall, excluded: set[str]
@@ -70,7 +69,7 @@
                     call.workspace_name,
                     call.workspace.rate if call.workspace else 0.0,
                     tokens,
-                    self._on_time_until(call),
+                    self.on_time_until(call),
                     lambda: self._ask_all(call, tokens, excluded),
                 )
                 return Ok(room)
@@ -84,6 +83,7 @@
                     "tokens": tokens,
                     "endpoints": len(listed),
                     "waiting": len(line),
+                    "late": desk.clock() > self.on_time_until(call),
                     "waited": round(desk.clock() - call.arrived, 3),
                     "store_revision": desk.belief.as_of,
                     "store_age": round(desk.belief.age(desk.clock()), 3),
@@ -116,17 +116,9 @@
             self._lines[service] = Line(self.desk.clock, ASK_S)
         return self._lines[service]
 
-    def _on_time_until(self, call: ForwardCall) -> float:
-        """Return when a request must have room to be answered on time.
-
-        A caller that comes back after a refusal has less time left than it had,
-        and was waiting all the while.
-        """
-        waits = call.facts.deadline_s or 0.0
-        longest = max(waits, self._longest_wait.get(call.route.name, 0.0))
-        self._longest_wait[call.route.name] = longest
-        on_time = call.route.target_s - FIRST_TOKEN_S
-        return call.arrived + on_time - (longest - waits)
+    def on_time_until(self, call: ForwardCall) -> float:
+        """Return when a request must have room to be answered on time."""
+        return call.asked + call.route.target_s - FIRST_TOKEN_S
 
     async def _ask_all(
         self, call: ForwardCall, tokens: int, excluded: set[str]
@@ -173,7 +165,7 @@
             prompt_tokens=prompt.prompt_tokens,
             answer_tokens=expected_answer(prompt),
             priority=call.priority,
-            late=now > self._on_time_until(call),
+            late=now > self.on_time_until(call),
             waited_s=round(now - call.arrived, 3),
         )
 
@@ -187,6 +179,7 @@
                 "endpoint": room.endpoint.id,
                 "tokens": room.tokens,
                 "expected": expected_answer(call.facts.prompt),
+                "late": now > self.on_time_until(call),
                 "waited": round(now - call.arrived, 3),
                 "store_revision": desk.belief.as_of,
                 "store_age": round(desk.belief.age(now), 3),
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -126,6 +126,18 @@
     total: float
 
 
+class Refused(Message):
+    """The sender refused a request that did not run and may come back.
+
+    Attributes:
+        fingerprint: what it has in common with its repeats.
+        since_s: seconds since its caller asked for the first time.
+    """
+
+    fingerprint: str
+    since_s: float
+
+
 class RoomAsk(Message):
     """Asks the agent beside a model endpoint for room for one request.
 
@@ -196,6 +208,7 @@
     CopyAnswer,
     Farewell,
     Spent,
+    Refused,
     RoomAsk,
     RoomAnswer,
     RoomDrop,
