Hand the levels of rates to entries that start

Cause: an entry that is not the first of its fleet began with half of each burst. The same half was given at each start of a rolling restart. Besides, an entry that had had no request of a workspace ignored what others spent of it. Ruled out: an error between two beats, which the unused part of the grant covers (11,000 and more tokens); a change of the rate, there was none in the window. Change: an entry that starts asks one that knows the past for the levels of its buckets and adopts them. Until then, and where all are new, it begins with half of what the bound leaves above the rates in use. Others' spending opens a bucket here. A test held the half burst itself (a process begins with a part of the burst); it is replaced by the bound over the window, which the half burst breaks in two of four cases, and by starts one by one. Conclusion: the bound is kept by what is known, and by the reserve where nothing is.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -28,7 +28,13 @@
 from ebonyglade.ports import Sender
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.base import Message
-from ebonyglade.wire.fleet import Beat, Refused, Spent
+from ebonyglade.wire.fleet import (
+    Beat,
+    RateLevels,
+    RateLevelsAsk,
+    Refused,
+    Spent,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -76,7 +82,7 @@
         self.audit = AuditTrail(context.wall, listener=log_change)
         self.belief = Belief(adapter, context.clock, self.audit)
         self.copies = Copies(context, self.belief)
-        self.rates = FleetRates(terms.rates)
+        self.rates = FleetRates(terms.rates, context.clock(), self._workspace)
         self.crashes = Crashes()
         self.returns = Returns()
         self.loads = Loads()
@@ -118,7 +124,14 @@
         ]
         self.members.on_gone.append(self._on_gone)
         self.members.start()
-        self.context.handle({Spent: self._on_spent, Refused: self._on_refused})
+        self.context.handle(
+            {
+                Spent: self._on_spent,
+                RateLevelsAsk: self._on_levels_ask,
+                RateLevels: self._on_levels,
+                Refused: self._on_refused,
+            }
+        )
         self.context.every(KEEP_S, self._keep)
         self.context.every(KEEP_S / 5, self.belief.tick)
 
@@ -256,7 +269,28 @@
 
     def _on_spent(self, sender: Sender, message: Spent) -> None:
         self.rates.heard_one(
-            sender.instance, sender.incarnation, message.workspace, message.total
+            sender.instance,
+            sender.incarnation,
+            message.workspace,
+            message.total,
+            self.context.clock(),
+        )
+
+    def _workspace(self, name: str) -> Workspace | None:
+        table = self.belief.table
+        return table.workspaces.get(name) if table is not None else None
+
+    def _on_levels_ask(self, sender: Sender, message: RateLevelsAsk) -> None:
+        now = self.context.clock()
+        if self.rates.knows(now):
+            levels = self.rates.levels(sender.instance, now)
+            self.context.send(sender.instance, RateLevels(levels))
+
+    def _on_levels(self, sender: Sender, message: RateLevels) -> None:
+        self.rates.adopt(message.levels, self.context.clock())
+        logger.info(
+            "rates adopted",
+            extra={"member": sender.instance, "workspaces": len(message.levels)},
         )
 
     def _tell_refused(self, call: ForwardCall) -> None:
@@ -297,6 +331,8 @@
         now = self.context.clock()
         if beat.entry:
             self.rates.heard(member.address, member.incarnation, beat.spent, now)
+            if self.rates.asks(now):
+                self.context.send(member.address, RateLevelsAsk())
             self.crashes.heard(member.address, beat.crashes)
         if beat.engine is not None:
             self.generation.reserver.book.heard(beat.engine, now)
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -4,19 +4,31 @@
 itself, and what the others say that they admitted. What others admitted and
 have not told yet is the error: at most what they admit between two beats.
 
+A process that starts while others run asks one of them for the levels of their
+buckets. Until it knows them, or where all have started anew, it begins with a part
+of what the bound leaves above the rates in use: what its predecessor spent counts
+in the same window and nobody may remember it.
+
 Of an entry that fell silent nothing is known: it may have ended, or it may serve
 on behind a partition. Until it is forgotten or known to have ended it counts as
 spending its equal part of the rate, so two halves of a fleet together admit what
 the whole may.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ebonyglade.forward.types import Workspace
+from ebonyglade.wire.fleet import RateLevel
 
 SILENT_S = 1.0  # after its last beat an entry counts as spending its part
-# Part of the burst that a process starts with, when others may have spent.
+# Part of what the bound leaves above the rates in use that a process begins with
+# when others may have spent; the rest covers what entries admit between two beats.
 START_PART = 0.5
+ASK_S = 0.2  # between two asks for the levels of others
+# After this time without an answer nobody is asked any more: a bucket that is kept
+# for so long is right whatever it began with.
+ALONE_S = 10.0
 # Parts of the published overage and slack that the bucket uses. The rest covers
 # what entries admit between two beats.
 USED_OVERAGE = 0.95
@@ -47,6 +59,11 @@
         over = workspace.burst * (1 + USED_OVERAGE * self.overage)
         return over + USED_SLACK * self.slack
 
+    def start(self, workspace: Workspace) -> float:
+        """Return the tokens of a bucket whose past is not known."""
+        over = workspace.burst * (1 - USED_OVERAGE) * self.overage
+        return START_PART * (over + (1 - USED_SLACK) * self.slack)
+
 
 @dataclass(slots=True)
 class _Bucket:
@@ -73,11 +90,25 @@
     assumed: dict[str, float] = field(default_factory=dict)
 
 
+def _nobody(name: str) -> Workspace | None:
+    return None
+
+
 @dataclass(slots=True)
 class FleetRates:
-    """Buckets of all workspaces, as this entry sees them."""
+    """Buckets of all workspaces, as this entry sees them.
+
+    Attributes:
+        terms: what is granted above rates and bursts.
+        began: when this process started.
+        workspace: returns a workspace by its name; None if there is none.
+    """
 
     terms: RateTerms = RateTerms()
+    began: float = 0.0
+    workspace: Callable[[str], Workspace | None] = _nobody
+    _adopted: bool = False
+    _asked: float = float("-inf")
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
     _others: dict[str, _Other] = field(default_factory=dict)
     _spent: dict[str, float] = field(default_factory=dict)
@@ -92,6 +123,46 @@
         bucket = self._buckets.get(workspace)
         return round(bucket.level, 1) if bucket else 0.0
 
+    def knows(self, now: float) -> bool:
+        """Return whether the past of the buckets is known."""
+        return self.terms.first_start or self._adopted or now - self.began > ALONE_S
+
+    def asks(self, now: float) -> bool:
+        """Return whether to ask another entry for its levels now."""
+        if self.knows(now) or now - self._asked < ASK_S:
+            return False
+        self._asked = now
+        return True
+
+    def levels(self, entry: str, now: float) -> list[RateLevel]:
+        """Return the buckets that are not full, for an entry that started.
+
+        Args:
+            entry: the entry that asks.
+            now: seconds.
+        """
+        other = self._others.get(entry)
+        counted = other.spent if other is not None else {}
+        found = []
+        for name in self._buckets:
+            workspace = self.workspace(name)
+            if workspace is None or workspace.rate <= 0:
+                continue
+            level = self._bucket(workspace, now).level
+            if level < self.terms.burst(workspace):
+                found.append(RateLevel(name, level, counted.get(name, 0.0)))
+        return found
+
+    def adopt(self, levels: list[RateLevel], now: float) -> None:
+        """Begin with the levels that another entry told; all others are full."""
+        if self.knows(now):
+            return
+        self._adopted = True
+        self._buckets.clear()
+        for told in levels:
+            untold = max(0.0, self._spent.get(told.workspace, 0.0) - told.counted)
+            self._buckets[told.workspace] = _Bucket(told.level - untold, now)
+
     def take(self, workspace: Workspace, cost: float, now: float) -> float:
         """Take a request's tokens.
 
@@ -125,17 +196,22 @@
         elif other.incarnation != incarnation:
             other = self._others[entry] = _Other(incarnation, {}, now)
         for name, total in spent.items():
-            self._note(other, name, total)
+            self._note(other, name, total, now)
         other.heard = now
         other.assumed.clear()
 
     def heard_one(
-        self, entry: str, incarnation: str, workspace: str, total: float
+        self,
+        entry: str,
+        incarnation: str,
+        workspace: str,
+        total: float,
+        now: float,
     ) -> None:
         """Take what another entry admitted of one workspace, ahead of its beat."""
         other = self._others.get(entry)
         if other is not None and other.incarnation == incarnation:
-            self._note(other, workspace, total)
+            self._note(other, workspace, total, now)
 
     def gone(self, entry: str) -> None:
         """Forget an entry that ended."""
@@ -146,9 +222,13 @@
         for entry in set(self._others) - entries:
             del self._others[entry]
 
-    def _note(self, other: _Other, name: str, total: float) -> None:
+    def _note(self, other: _Other, name: str, total: float, now: float) -> None:
         news = total - other.spent.get(name, 0.0)
         other.spent[name] = total
+        workspace = self.workspace(name)
+        if news and workspace is not None and workspace.rate > 0:
+            # A bucket that nobody asked for here is kept for what others spend.
+            self._bucket(workspace, now)
         bucket = self._buckets.get(name)
         if bucket is not None:
             bucket.level -= news - other.assumed.pop(name, 0.0)
@@ -157,12 +237,19 @@
         self._buckets[name].level -= cost
         self._spent[name] = self._spent.get(name, 0.0) + cost
 
+    def _new_bucket(self, workspace: Workspace, now: float) -> _Bucket:
+        """Return a bucket that nothing was spent from since this process started."""
+        rate, burst = self.terms.rate(workspace), self.terms.burst(workspace)
+        if self.terms.first_start or self._adopted:
+            return _Bucket(burst, now)
+        since = max(0.0, now - self.began)
+        return _Bucket(min(burst, self.terms.start(workspace) + rate * since), now)
+
     def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
         rate, burst = self.terms.rate(workspace), self.terms.burst(workspace)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            part = 1.0 if self.terms.first_start else START_PART
-            bucket = self._buckets[workspace.name] = _Bucket(part * burst, now)
+            bucket = self._buckets[workspace.name] = self._new_bucket(workspace, now)
         elapsed = max(0.0, now - bucket.at)
         bucket.at = now
         part = rate / (1 + len(self._others))
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -126,6 +126,30 @@
     total: float
 
 
+class RateLevel(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens left of one workspace's rate.
+
+    Attributes:
+        workspace: its name.
+        level: tokens left; negative where too much was admitted.
+        counted: what the receiver admitted since its start, as far as it is in it.
+    """
+
+    workspace: str
+    level: float
+    counted: float
+
+
+class RateLevelsAsk(Message):
+    """Asks an entry for its levels, as the sender has just started."""
+
+
+class RateLevels(Message):
+    """The workspaces whose rate is not left in full; all others are."""
+
+    levels: list[RateLevel] = []
+
+
 class Refused(Message):
     """The sender refused a request that did not run and may come back.
 
@@ -208,6 +232,8 @@
     CopyAnswer,
     Farewell,
     Spent,
+    RateLevelsAsk,
+    RateLevels,
     Refused,
     RoomAsk,
     RoomAnswer,
--- a/tests/forward/test_rates.py
+++ b/tests/forward/test_rates.py
@@ -1,6 +1,9 @@
 import random
+from dataclasses import replace
 
-from ebonyglade.forward.rates import SILENT_S, FleetRates, RateTerms
+import pytest
+
+from ebonyglade.forward.rates import ALONE_S, SILENT_S, FleetRates, RateTerms
 from ebonyglade.forward.types import Workspace
 
 SPACE = Workspace("w", (), rate=1000.0, burst=2000.0)
@@ -83,10 +86,63 @@
     assert here.take(SPACE, 2000.0, 0.0) == 0.0
 
 
-def test_a_process_that_starts_again_begins_with_a_part_of_the_burst():
-    again = FleetRates(RateTerms())
-    assert again.take(SPACE, 1100.0, 0.0) > 0
-    assert again.take(SPACE, 900.0, 0.0) == 0.0
+GRANTED = RateTerms(overage=0.25, slack=1000.0)
+
+
+def granted(window):
+    """Return what the platform grants a workspace in a window."""
+    return (window * SPACE.rate + SPACE.burst) * 1.25 + 1000.0
+
+
+@pytest.mark.parametrize("at", [0.2, 1.0, 3.0, 6.0])
+def test_a_fleet_that_is_killed_as_a_whole_does_not_begin_with_another_burst(at):
+    """A workspace turns hot, and all entries are killed in the same window."""
+    before = flood(entries(5, replace(GRANTED, first_start=True)), at)
+    after = [FleetRates(GRANTED, began=at + 0.5) for _ in range(5)]
+    admitted = before + flood(after, 8.0, start=at + 0.5)
+    assert most_in(admitted, 8.0) <= granted(8.0)
+
+
+def test_entries_that_start_one_by_one_begin_with_what_the_others_know():
+    """A rolling restart beside a hot workspace, and one beside a quiet one."""
+    spaces = {"w": SPACE}
+    old, new = FleetRates(FRESH, 0.0, spaces.get), FleetRates(RateTerms(), 5.0)
+    old.take(SPACE, 2000.0, 5.0)
+    assert new.asks(5.0) and not new.asks(5.1)
+    new.adopt(old.levels("new", 5.0), 5.0)
+    assert new.take(SPACE, 100.0, 5.0) > 0
+    quiet = FleetRates(RateTerms(), 60.0)
+    quiet.adopt(old.levels("quiet", 60.0), 60.0)
+    assert quiet.take(SPACE, 2000.0, 60.0) == 0.0
+
+
+def test_levels_count_once_what_the_asker_admitted_meanwhile():
+    spaces = {"w": SPACE}
+    old = FleetRates(FRESH, 0.0, spaces.get)
+    old.heard("new", "i", {}, 5.0)
+    new = FleetRates(GRANTED, 5.0)
+    assert new.take(SPACE, 50.0, 5.0) == 0.0
+    told = old.levels("new", 5.0)
+    old.heard("new", "i", {"w": 50.0}, 5.0)
+    counted = old.levels("new", 5.0)
+    assert counted[0].level == 1950.0 and counted[0].counted == 50.0
+    assert told == []
+
+
+def test_who_does_not_know_the_past_tells_no_levels_until_it_does():
+    rates = FleetRates(RateTerms(), 100.0)
+    assert not rates.knows(100.0)
+    assert rates.knows(100.0 + ALONE_S + 0.1)
+    assert not rates.asks(100.0 + ALONE_S + 0.1)
+
+
+def test_what_others_spend_counts_before_the_first_request_here():
+    """A hot workspace whose callers all use one entry, and then another one."""
+    spaces = {"w": SPACE}
+    here = FleetRates(FRESH, 0.0, spaces.get)
+    here.heard("1", "i", {}, 0.0)
+    here.heard("1", "i", {"w": 2000.0}, 0.0)
+    assert here.take(SPACE, 500.0, 0.0) > 0
 
 
 def test_a_request_above_the_burst_needs_a_full_bucket_and_leaves_a_debt():
@@ -114,7 +170,7 @@
     here = FleetRates(FRESH)
     here.heard("1", "i", {"w": 0.0}, 0.0)
     here.take(SPACE, 100.0, 0.0)
-    here.heard_one("1", "i", "w", 900.0)
+    here.heard_one("1", "i", "w", 900.0, 0.0)
     here.heard("1", "i", {"w": 900.0}, 0.0)
     assert here.take(SPACE, 1000.0, 0.0) == 0.0
     assert here.take(SPACE, 10.0, 0.0) > 0
