Let an endpoint's failures fade, so that it is used again

Cause: the share of failures only changed with an endpoint's answers, and an endpoint that failed more than the others got none. Ruled out: ejections, which end by themselves; too few prefill endpoints, as two read what one could not. Change: the share halves in five seconds.

--- a/packages/ebonyglade/src/ebonyglade/forward/desk.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/desk.py
@@ -140,7 +140,7 @@
         reason: str = "answer broke off",
     ) -> Failure:
         """Note that an answer can't be passed on; the request may have run."""
-        self.loads.answered(endpoint.id, failed=True)
+        self.loads.answered(endpoint.id, True, self.clock())
         call.verdict = worst(call.verdict, Verdict.MAY_HAVE_RUN)
         return Failure(Trouble.BROKEN, reason)
 
@@ -154,7 +154,7 @@
         now = self.clock()
         if isinstance(sent, Ok):
             answer = sent.ok_value
-            self.loads.answered(endpoint.id, failed=answer.status >= 500)
+            self.loads.answered(endpoint.id, answer.status >= 500, now)
             self.loads.ejections.worked([endpoint.id])
             if answer.facts.load is not None:
                 self.loads.told(endpoint.id, answer.facts.load, now)
@@ -184,11 +184,11 @@
 
     def _lost(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
         self.loads.ejections.failed(endpoint.id, now)
-        self.loads.answered(endpoint.id, failed=True)
+        self.loads.answered(endpoint.id, True, now)
         self.crashes.crashed(call.fingerprint, now)
 
     def _late(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
-        self.loads.answered(endpoint.id, failed=True)
+        self.loads.answered(endpoint.id, True, now)
 
 
 _AFTERMATH = {
--- a/packages/ebonyglade/src/ebonyglade/forward/loads.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/loads.py
@@ -9,6 +9,9 @@
 
 TOLD_S = 1.0  # age after which what an endpoint told of its load is worth nothing
 FAILURE_WEIGHT = 0.1  # weight of the newest answer in the share of failures
+# The share of failures counts half after this time, so that an endpoint that gets
+# nothing because of it is tried again.
+FAILURE_HALF_S = 5.0
 FAILURE_COST = 3.0  # what an endpoint that always fails costs more, in full loads
 OTHER_ZONE_COST = 0.15  # what another availability zone costs, in full loads
 
@@ -21,6 +24,11 @@
     told: Load | None = None
     told_at: float = float("-inf")
     failures: float = 0.0
+    failures_at: float = 0.0
+
+    def failing(self, now: float) -> float:
+        """Return the share of failures, which fades with time."""
+        return self.failures * 0.5 ** ((now - self.failures_at) / FAILURE_HALF_S)
 
 
 @dataclass(slots=True)
@@ -48,10 +56,12 @@
         state = self._state(endpoint)
         state.told, state.told_at = load, now
 
-    def answered(self, endpoint: str, failed: bool) -> None:
+    def answered(self, endpoint: str, failed: bool, now: float) -> None:
         """Note how a request ended."""
         state = self._state(endpoint)
-        state.failures += FAILURE_WEIGHT * (float(failed) - state.failures)
+        share = state.failing(now)
+        state.failures = share + FAILURE_WEIGHT * (float(failed) - share)
+        state.failures_at = now
 
     def keep(self, endpoints: Iterable[str]) -> None:
         """Forget all other endpoints that nothing is sent to."""
@@ -75,12 +85,12 @@
         ejected = self.ejections.active(now)
         # Better an endpoint that failed lately than none.
         sound = [item for item in usable if item.id not in ejected] or usable
-        usual = min(self._state(item.id).failures for item in sound)
+        usual = min(self._state(item.id).failing(now) for item in sound)
         return min(
             sound,
             key=lambda item: (
                 self._use(item, now)
-                + FAILURE_COST * (self._state(item.id).failures - usual)
+                + FAILURE_COST * (self._state(item.id).failing(now) - usual)
                 + (OTHER_ZONE_COST if item.zone != zone else 0.0),
                 rng.random(),
             ),
--- a/tests/forward/test_small_parts.py
+++ b/tests/forward/test_small_parts.py
@@ -78,12 +78,24 @@
     loads, rng = Loads(), random.Random(1)
     listed = [endpoint("grey"), endpoint("sound")]
     for _ in range(20):
-        loads.answered("grey", failed=True)
-        loads.answered("sound", failed=False)
+        loads.answered("grey", True, 0.0)
+        loads.answered("sound", False, 0.0)
     loads.begun("sound")
     assert loads.choose(listed, set(), "z", 0.0, rng).id == "sound"
 
 
+def test_an_endpoint_that_failed_once_is_used_again():
+    """One of two fails for a while; later the other one alone is overloaded."""
+    loads, rng = Loads(), random.Random(1)
+    listed = [endpoint("failed"), endpoint("sound", slots=12)]
+    for _ in range(20):
+        loads.answered("failed", True, 0.0)
+    for _ in range(4):
+        loads.begun("sound")
+    assert loads.choose(listed, set(), "z", 1.0, rng).id == "sound"
+    assert loads.choose(listed, set(), "z", 30.0, rng).id == "failed"
+
+
 def _model(name, stage, leaving=False):
     return endpoint(name, "model", stage=stage, leaving=leaving)
 
