Change stages by what the service can answer then

Cause: the number of prefill endpoints was kept between those for one endpoint less and one more. Ruled out: the choice among prefill endpoints, there was one; slow endpoints. Change: stages change where the service then answers a fifth more than now, by the lesser of what its prefill endpoints read and its decode endpoints run. Conclusion: pools of up to four endpoints decide as before.

--- a/packages/ebonyglade/src/ebonyglade/forward/stages.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/stages.py
@@ -5,9 +5,11 @@
 
 from ebonyglade.forward.types import Endpoint, Stage
 
-# Decode endpoints for each prefill endpoint. One reads prompts a little faster than
-# this many can answer them at their peak, so that prompts hardly wait.
+# Decode endpoints whose requests one prefill endpoint can read at their peak.
 DECODES_PER_PREFILL = 4
+# Changes of stage take their endpoints away for seconds. They must let the service
+# answer so many times what it can answer now.
+LEAST_GAIN = 1.2
 SETTLED_S = 1.0  # a surplus must last this long before anybody moves
 MISSING_S = 1.5  # so must a lack, while endpoints that start are still listed
 
@@ -29,9 +31,7 @@
     """Return the next change of stage among a service's endpoints.
 
     One endpoint changes at a time: the first by its id among those that may, so
-    that all agents who see the same list name the same one. An endpoint that comes
-    or goes changes nothing at the border between two numbers of prefill endpoints,
-    since a change costs its endpoint for seconds.
+    that all agents who see the same list name the same one.
     """
     serving = sorted(
         (item for item in endpoints if item.stage is not None and not item.leaving),
@@ -39,20 +39,30 @@
     )
     prefills = [item for item in serving if item.stage is Stage.PREFILL]
     decodes = [item for item in serving if item.stage is Stage.DECODE]
-    most = prefills_wanted(len(serving) + 1)
-    least = max(prefills_wanted(len(serving) - 1), min(1, most))
-    if len(prefills) > most or (prefills and not decodes):
-        return Wanted(prefills[0].id, Stage.DECODE)
-    if len(prefills) < least and len(decodes) > 1:
+    if not decodes:
+        return Wanted(prefills[0].id, Stage.DECODE) if prefills else None
+    now = answered(len(prefills), len(decodes))
+    best = _best(len(serving), len(prefills))
+    gain = answered(best, len(serving) - best)
+    if gain <= now or gain < LEAST_GAIN * now:
+        return None
+    if best > len(prefills):
         return Wanted(decodes[-1].id, Stage.PREFILL)
-    return None
+    return Wanted(prefills[0].id, Stage.DECODE)
 
 
-def prefills_wanted(serving: int) -> int:
-    """Return how many of a service's endpoints should prefill.
+def _best(serving: int, prefills: int) -> int:
+    """Return the number of prefill endpoints that is best and nearest."""
+    return max(
+        range(serving),
+        key=lambda count: (answered(count, serving - count), -abs(count - prefills)),
+    )
+
+
+def answered(prefills: int, decodes: int) -> float:
+    """Return what a service can answer, in decode endpoints kept busy.
 
-    A single endpoint decodes, and reads its prompts itself.
+    Decode endpoints that read their prompts themselves hardly answer anything
+    meanwhile; a single endpoint has no other choice.
     """
-    if serving < 2:
-        return 0
-    return max(1, round(serving / (1 + DECODES_PER_PREFILL)))
+    return min(prefills * DECODES_PER_PREFILL, decodes)
