Choose prefill endpoints by the queue that their agents tell

Cause: an entry knew of a prefill endpoint's queue what it had sent itself, one prompt in twenty on a grown fleet, and measured it against twelve slots, though prompts are read one after the other. A slow endpoint got as many prompts as the other one. Ruled out: the load in answers' headers, as each entry sees few answers; asking the agents before each prompt, which costs two messages for each of them. Change: the load that agents tell in their beats counts, and a prompt there counts as a full load. Agents tell the requests that the endpoint runs, not those granted room.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -24,12 +24,13 @@
 from ebonyglade.forward.rates import FleetRates, RateTerms
 from ebonyglade.forward.returns import Returns
 from ebonyglade.forward.rooms import Rooms
-from ebonyglade.forward.types import Workspace
+from ebonyglade.forward.types import Load, Stage, Workspace
 from ebonyglade.ports import Sender
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.base import Message
 from ebonyglade.wire.fleet import (
     Beat,
+    EngineState,
     RateLevels,
     RateLevelsAsk,
     Refused,
@@ -336,6 +337,13 @@
             self.crashes.heard(member.address, beat.crashes)
         if beat.engine is not None:
             self.generation.reserver.book.heard(beat.engine, now)
+            self._note_load(beat.engine, now)
+
+    def _note_load(self, state: EngineState, now: float) -> None:
+        endpoint = self.belief.roster.endpoints.get(state.endpoint)
+        if endpoint is not None and endpoint.stage is Stage.PREFILL:
+            load = Load(state.running, state.waiting, endpoint.slots)
+            self.loads.told(endpoint.id, load, now - state.age_s)
 
     def _on_gone(self, member: Member) -> None:
         self.rates.gone(member.address)
--- a/packages/ebonyglade/src/ebonyglade/forward/keeper.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/keeper.py
@@ -133,7 +133,7 @@
             return None
         age = round(now - self._reported_at, 3)
         return EngineState(
-            mine.id, self._room.free(), len(self._room), report.waiting, age
+            mine.id, self._room.free(), report.running, report.waiting, age
         )
 
     def _on_ask(self, sender: Sender, ask: RoomAsk) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/loads.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/loads.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ebonyglade.forward.types import Endpoint, Load
+from ebonyglade.forward.types import Endpoint, Load, Stage
 from ebonyglade.retry.ejection import Ejections
 
 TOLD_S = 1.0  # age after which what an endpoint told of its load is worth nothing
@@ -52,9 +52,10 @@
         return self._state(endpoint).in_flight
 
     def told(self, endpoint: str, load: Load, now: float) -> None:
-        """Note the load that an endpoint told."""
+        """Note the load that an endpoint told; `now` is when that was so."""
         state = self._state(endpoint)
-        state.told, state.told_at = load, now
+        if now >= state.told_at:
+            state.told, state.told_at = load, now
 
     def answered(self, endpoint: str, failed: bool, now: float) -> None:
         """Note how a request ended."""
@@ -97,12 +98,14 @@
         )
 
     def _use(self, endpoint: Endpoint, now: float) -> float:
-        """Return the used part of an endpoint's slots."""
+        """Return the used part of what an endpoint can do at once."""
         state = self._state(endpoint.id)
         busy = float(state.in_flight)
         if state.told is not None and now - state.told_at < TOLD_S:
             busy = max(busy, state.told.running + state.told.waiting)
-        return busy / max(1, endpoint.slots)
+        # Prompts are read one after the other.
+        width = 1 if endpoint.stage is Stage.PREFILL else endpoint.slots
+        return busy / max(1, width)
 
     def _state(self, endpoint: str) -> _State:
         state = self._states.get(endpoint)
--- a/tests/forward/test_small_parts.py
+++ b/tests/forward/test_small_parts.py
@@ -175,3 +175,18 @@
             assert comes == (pool[0], pool[1] + 1)
             pool = _settled(comes[0], comes[1] - 1)
             assert pool == kept
+
+
+def test_prompts_go_to_the_prefill_endpoint_with_the_shorter_queue():
+    """One of two reads slowly; its agent tells that prompts wait there."""
+    loads, rng = Loads(), random.Random(1)
+    listed = [
+        endpoint("slow", "model", stage=Stage.PREFILL, slots=12),
+        endpoint("far", "model", stage=Stage.PREFILL, slots=12, zone="other"),
+    ]
+    loads.told("slow", Load(2, 1, 12), 0.0)
+    loads.told("far", Load(1, 0, 12), 0.0)
+    assert loads.choose(listed, set(), "z", 0.1, rng).id == "far"
+    # An older report does not replace a newer one.
+    loads.told("far", Load(9, 0, 12), -0.5)
+    assert loads.choose(listed, set(), "z", 0.1, rng).id == "far"
