Ask again where the last ask without a grant is old

Cause: a group counted as without owner since its first ask without a grant. Where a connection was silent, the wallet was given up and nobody asked any more, so that the next request, 17 s later and with all calm, was refused with rate_unknown at once. Change: an ask older than six seconds counts for nothing. Conclusion: whoever is told to come back after a lease still finds the refusal at once, as its asks are younger.

--- a/packages/ebonyglade/src/ebonyglade/limits/links.py
+++ b/packages/ebonyglade/src/ebonyglade/limits/links.py
@@ -6,6 +6,9 @@
 
 ANSWER_S = 0.4
 FAILED_S = 2.0
+# An ask that is older says nothing of now. Callers that obey the time to come back,
+# a lease, ask within it.
+OLD_ASK_S = 6.0
 TRIED = 4  # entries in line that are tried when the owner does not answer
 
 
@@ -21,6 +24,7 @@
         unanswered: when the first ask without an answer was sent.
         ownerless: when the first ask without a grant was sent; answers that only
             name another instance don't end it.
+        asked: when the newest ask was sent.
         failed: until when each silent instance is not asked.
     """
 
@@ -30,6 +34,7 @@
     target: str = ""
     unanswered: float | None = None
     ownerless: float | None = None
+    asked: float = float("-inf")
     failed: dict[str, float] = field(default_factory=dict)
 
     def choose(self, ownership: Ownership, now: float) -> str | None:
@@ -50,8 +55,9 @@
         """Note an ask."""
         if self.unanswered is None:
             self.unanswered = now
-        if self.ownerless is None:
+        if self.ownerless is None or now - self.asked > OLD_ASK_S:
             self.ownerless = now
+        self.asked = now
 
     def granted(self) -> None:
         """Note an owner's answer."""
--- a/packages/ebonyglade/src/ebonyglade/limits/rights.py
+++ b/packages/ebonyglade/src/ebonyglade/limits/rights.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from ebonyglade.context import Context
-from ebonyglade.limits.links import Link
+from ebonyglade.limits.links import OLD_ASK_S, Link
 from ebonyglade.limits.wallet import Reservation, Waiter, Wallet
 from ebonyglade.ownership.ownership import Ownership
 from ebonyglade.ownership.terms import DRIFT
@@ -96,6 +96,8 @@
         link = self._links.get(group)
         if link is None or link.ownerless is None:
             return False
+        if now - link.asked > OLD_ASK_S:
+            return False
         silent = now - link.ownerless
         return silent > TAKEOVERS * self._ownership.terms.takeover_s
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -265,6 +265,28 @@
     assert spent.times
 
 
+def test_what_could_not_be_granted_long_ago_is_asked_for_again():
+    """An entry is cut off, its callers leave, and come back when all is well."""
+
+    async def scenario():
+        world, spent = rate_world(), Spent()
+        await ready(world)
+        alone = others(world, owner_of(world))[0]
+        cut(world, {alone}, set(world.nodes) - {alone})
+        await admit(world, alone, spent, 10, deadline=0.5)
+        await asyncio.sleep(30.0)
+        heal(world)
+        # The wallet that was asked for is given up meanwhile.
+        await asyncio.sleep(TAKEOVERS * TERMS.takeover_s + 20.0)
+        spent.refused.clear()
+        await admit(world, alone, spent, 10, deadline=5.0)
+        return spent
+
+    spent = run(scenario())
+    assert spent.refused == []
+    assert spent.times
+
+
 async def planned_stop(world, spent):
     """The owner drains while a lonely entry has most of the burst in hand."""
     await asyncio.sleep(2 * LONG_TERMS.lease_s)
