Read the platform sooner where no parent is heard

Cause: an instance read the platform itself after three seconds without a parent. Where a partition cuts off all readers as a change is published, the heartbeat before it, the three seconds and the turn to read add up to more than four seconds. Ruled out: the platform, which answered all; pauses, the instance that lagged had none. Change: 2.2 seconds, two heartbeats and their delay. Conclusion: one lost heartbeat does not make anybody read.

--- a/packages/ebonyglade/src/ebonyglade/config/relay.py
+++ b/packages/ebonyglade/src/ebonyglade/config/relay.py
@@ -13,7 +13,7 @@
 OWNER = "relay"  # of the peers that are held
 FOLLOW_TERM_S = 3.5  # a follower that was not heard for so long is dropped
 MAX_FOLLOWERS = 64
-ORPHAN_AFTER_S = 3.0  # silence of all parents after which the platform is read
+ORPHAN_AFTER_S = 2.2  # silence of all parents after which the platform is read
 ASK_GOOD_AGAIN_S = 10.0  # between two asks of one parent for last valid values
 LEFT_S = 30.0  # for which an instance that announced its stop is passed over
 READ_STEP_S = 0.25  # between the turns of readers for one revision
--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -88,6 +88,23 @@
     assert run(scenario()) == []
 
 
+@pytest.mark.parametrize("after", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_a_change_reaches_all_although_its_readers_are_cut_off_with_it(after):
+    """The partition begins as the change is published, at any time of a heartbeat."""
+
+    async def scenario():
+        world = zoned_world()
+        await asyncio.sleep(5 + after)
+        readers = {n for n, node in world.nodes.items() if node.core.relay.reads}
+        rest = set(world.nodes) - readers
+        world.network.faults.cut = {frozenset((a, b)) for a in readers for b in rest}
+        revision = publish_workspace(world)
+        await asyncio.sleep(IN_FORCE_S)
+        return behind(world, revision)
+
+    assert run(scenario()) == []
+
+
 def test_instance_that_no_neighbour_reaches_reads_by_itself(monkeypatch):
     async def scenario():
         world = zoned_world(agents=30)
