--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -11,6 +11,7 @@
 from ebonyglade_lab.fuzz.faults import FAULTS
 from ebonyglade_lab.fuzz.rules import LOAD
 from ebonyglade_lab.fuzz.run import START_S, Run
+from ebonyglade_lab.fuzz.violation import Violation
 from ebonyglade_lab.virtual.loop import VirtualLoop
 
 MOST_FAULTS = 3
@@ -68,6 +69,35 @@
     assert quick == slow
 
 
+def restarted(knows, stale):
+    """Judge an entry that restarts two revisions behind its last process."""
+
+    async def scenario():
+        made = Run(1)
+        await made.pass_time(8.0)
+        entry = made.world.nodes[made.entries[0]]
+        newest = entry.core.config.view.revision
+        made.sweeps._newest[made.entries[0]] = newest if knows else newest + 2
+        if stale:
+            made.world.platform.freeze(made.entries[0])
+        made.sweeps._platform_calm(made.now)
+        calm = made.sweeps._platform_calm(made.now)
+        made.sweeps._check_restarted(made.entries[0], newest - 2, calm)
+
+    VirtualLoop().run_until_complete(scenario())
+
+
+@pytest.mark.parametrize(("knows", "stale"), [(True, True), (True, False), (False, 0)])
+def test_a_restart_that_goes_back_is_found_wherever_it_could_be_told(knows, stale):
+    with pytest.raises(Violation, match="restart_never_reverts"):
+        restarted(knows, stale)
+
+
+def test_a_restart_may_go_back_where_nobody_is_left_that_knows():
+    """Seeds 8 and 191: all processes end while the platform answers from the past."""
+    restarted(knows=False, stale=True)
+
+
 def test_command_tells_of_a_violation(monkeypatch, capsys):
     monkeypatch.setattr("ebonyglade_lab.fuzz.checks.LATE_ANSWER_S", -1000.0)
     assert not fuzz("1:2", steps=20, jobs=1)
