Refuse at once where no decode endpoint is left

Callers were held for 2.2 s and told to come back after one, three times too early. Ruled out: a quicker change of stage; its six seconds are the endpoint's own. Change: such requests are refused at once with the time until the change is made; those that come in its last 2.2 s wait in line.

--- a/packages/ebonyglade/src/ebonyglade/forward/reserving.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/reserving.py
@@ -11,7 +11,8 @@
 from ebonyglade.forward.line import Line
 from ebonyglade.forward.memory import MemoryBook, expected_answer, reservation
 from ebonyglade.forward.rooms import Rooms
-from ebonyglade.forward.types import Endpoint, Stage
+from ebonyglade.forward.stages import SETTLED_S
+from ebonyglade.forward.types import Endpoint, Service, Stage
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade.wire.fleet import RoomAsk
 
@@ -53,12 +54,17 @@
     rooms: Rooms
     book: MemoryBook = field(default_factory=MemoryBook)
     _lines: dict[str, Line] = field(default_factory=dict)
+    _empty_since: dict[str, float] = field(default_factory=dict)
 
     async def reserve(
         self, call: ForwardCall, excluded: set[str]
     ) -> Result[Room, Refusal]:
         """Wait in line for memory at a decode endpoint."""
         desk = self.desk
+        back_in = self._back_in(call.service)
+        if back_in > PATIENCE_S:
+            self._log_empty(call, back_in)
+            return Err(refuse("no_endpoint", retry_after=back_in))
         line = self._line(call.service.name)
         give_up = min(call.arrived + PATIENCE_S, call.deadline - LEAST_S)
         tokens = reservation(call.facts.prompt, call.service)
@@ -111,6 +117,33 @@
         if service in self._lines:
             self._lines[service].freed()
 
+    def _back_in(self, service: Service) -> float:
+        """Return the seconds until a service without decode endpoints has one.
+
+        Zero if it has one, or if none is left that could change its stage.
+        """
+        now = self.desk.clock()
+        listed = self.desk.belief.roster.of(service.name)
+        if not listed or any(item.stage is Stage.DECODE for item in listed):
+            self._empty_since.pop(service.name, None)
+            return 0.0
+        since = self._empty_since.setdefault(service.name, now)
+        expected = since + SETTLED_S + service.engine.switch_s
+        return max(0.0, expected - now)
+
+    def _log_empty(self, call: ForwardCall, back_in: float) -> None:
+        desk = self.desk
+        logger.info(
+            "no decode endpoint",
+            extra={
+                "request": call.id,
+                "service": call.service.name,
+                "back_in": round(back_in, 3),
+                "store_revision": desk.belief.as_of,
+                "store_age": round(desk.belief.age(desk.clock()), 3),
+            },
+        )
+
     def _line(self, service: str) -> Line:
         if service not in self._lines:
             self._lines[service] = Line(self.desk.clock, ASK_S)
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -8,6 +8,7 @@
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.reserving import PATIENCE_S
 from ebonyglade.forward.rooms import Rooms
+from ebonyglade.forward.stages import SETTLED_S
 from ebonyglade.forward.types import AnswerFacts, Repeat, Stage
 from ebonyglade.verdict import Verdict
 from ebonyglade_lab.virtual.loop import run
@@ -177,6 +178,16 @@
     assert not port.sent
 
 
+def test_without_a_decode_endpoint_the_caller_is_told_at_once_when_one_is_back():
+    """All decode endpoints left; the one that prefills changes its stage."""
+    left = [endpoint("p", "model", stage=Stage.PREFILL)]
+    reply, port, _, now = generate([], listed=left)
+    assert reply.err_value.code == "no_endpoint"
+    assert reply.err_value.retry_after == SETTLED_S + MODEL.engine.switch_s
+    assert now <= 0.2
+    assert port.sent == []
+
+
 def test_without_a_prefill_endpoint_the_decode_endpoint_reads_the_prompt():
     reply, port, events, _ = generate([answer(b"data: x\n\n")], listed=[decode("d")])
     assert isinstance(reply.ok_value, Stream)
