--- a/tests/forward/test_start.py
+++ b/tests/forward/test_start.py
@@ -16,7 +16,8 @@
 
 
 @pytest.mark.parametrize(
-    "module", ["ebonyglade_entry.forwarding.program", "ebonyglade_agent.staging.program"]
+    "module",
+    ["ebonyglade_entry.forwarding.program", "ebonyglade_agent.staging.program"],
 )
 def test_a_start_loads_nothing_of_the_other_programs(module):
     code = f"import sys, {module}; print(*sys.modules)"
