Count a change of stage that is under way

Cause: an endpoint that changes its stage is listed with the old one until it is done, six seconds and its runs later. On Aula's mix the prefill endpoint left, one was ordered to prefill, another joined and was ordered to prefill as well, and the last other one left: no endpoint decoded from 23 s on. Ruled out: agents that see different lists; all had the same one. Change: agents tell that their endpoint changes, and it counts for the stage that it will have. The new test fails before.

--- a/packages/ebonyglade/src/ebonyglade/forward/keeper.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/keeper.py
@@ -11,7 +11,7 @@
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.belief import Belief
 from ebonyglade.forward.copies import Copies
-from ebonyglade.forward.members import Members
+from ebonyglade.forward.members import Member, Members
 from ebonyglade.forward.room import Rank, ReadingTurns, RoomBook
 from ebonyglade.forward.stages import MISSING_S, SETTLED_S, Wanted, wanted_change
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage
@@ -30,6 +30,7 @@
 
 # An order rests on a list that was confirmed within this time.
 LIST_AGE_S = 2.5
+CHANGE_AGE_S = 1.5  # what an agent told of its endpoint's change holds so long
 REPORT_AGE_S = 1.0  # room is given on a report that is younger
 WAIT_S = {Stage.DECODE: SETTLED_S, Stage.PREFILL: MISSING_S}
 
@@ -70,13 +71,14 @@
         self._reported_at = 0.0
         self._wanted: Wanted | None = None
         self._wanted_since = 0.0
+        self._changes: dict[str, float] = {}
         self._room = RoomBook()
         self._turns = ReadingTurns()
 
     def start(self) -> None:
         """Join the fleet."""
         self.copies.start()
-        self.members.on_beat.append(self.copies.on_beat)
+        self.members.on_beat += [self.copies.on_beat, self._on_beat]
         self.members.start()
         self.context.handle(
             {
@@ -103,7 +105,8 @@
         mine = self.endpoint
         if mine is None or mine.leaving or self.belief.age(now) > LIST_AGE_S:
             return None
-        wanted = wanted_change(self.belief.roster.of(mine.service))
+        serving = self.belief.roster.of(mine.service)
+        wanted = wanted_change(serving, self._changing(now))
         if wanted != self._wanted:
             self._wanted, self._wanted_since = wanted, now
         if wanted is None or wanted.endpoint != mine.id or report.busy:
@@ -117,6 +120,22 @@
             return None
         return Order(wanted.stage, self.belief.as_of, report.orders)
 
+    def _on_beat(self, member: Member, beat: Beat) -> None:
+        """Note whose endpoint changes its stage."""
+        if beat.engine is None:
+            return
+        if beat.engine.changing:
+            self._changes[beat.engine.endpoint] = self.context.clock()
+        else:
+            self._changes.pop(beat.engine.endpoint, None)
+
+    def _changing(self, now: float) -> set[str]:
+        """Return the endpoints that change their stage."""
+        old = [name for name, at in self._changes.items() if now - at > CHANGE_AGE_S]
+        for name in old:
+            del self._changes[name]
+        return set(self._changes)
+
     def _compose(self) -> Beat:
         now = self.context.clock()
         return Beat(
@@ -133,7 +152,13 @@
             return None
         age = round(now - self._reported_at, 3)
         return EngineState(
-            mine.id, self._room.free(), report.running, report.waiting, age
+            mine.id,
+            self._room.free(),
+            report.running,
+            report.waiting,
+            age,
+            # The list shows the new stage when the change is made.
+            report.busy and report.stage is mine.stage,
         )
 
     def _on_ask(self, sender: Sender, ask: RoomAsk) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/stages.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/stages.py
@@ -1,7 +1,7 @@
 """Which model endpoint changes its stage, decided alike beside each of them."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
 
 from ebonyglade.forward.types import Endpoint, Stage
 
@@ -27,14 +27,25 @@
     stage: Stage
 
 
-def wanted_change(endpoints: Iterable[Endpoint]) -> Wanted | None:
+def wanted_change(
+    endpoints: Iterable[Endpoint], changing: Collection[str] = ()
+) -> Wanted | None:
     """Return the next change of stage among a service's endpoints.
 
-    One endpoint changes at a time: the first by its id among those that may, so
-    that all agents who see the same list name the same one.
+    All agents who see the same list name the same endpoint: the first by its id
+    among those that may change.
+
+    Args:
+        endpoints: the service's endpoints, as they are listed.
+        changing: ids of those that change already; they count for the stage that
+            they will have, which takes seconds to be listed.
     """
     serving = sorted(
-        (item for item in endpoints if item.stage is not None and not item.leaving),
+        (
+            _changed(item) if item.id in changing else item
+            for item in endpoints
+            if item.stage is not None and not item.leaving
+        ),
         key=lambda item: item.id,
     )
     prefills = [item for item in serving if item.stage is Stage.PREFILL]
@@ -51,6 +62,11 @@
     return Wanted(prefills[0].id, Stage.DECODE)
 
 
+def _changed(endpoint: Endpoint) -> Endpoint:
+    other = Stage.DECODE if endpoint.stage is Stage.PREFILL else Stage.PREFILL
+    return replace(endpoint, stage=other)
+
+
 def _best(serving: int, prefills: int) -> int:
     """Return the number of prefill endpoints that is best and nearest."""
     return max(
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -42,6 +42,7 @@
         running: requests that run.
         waiting: requests that wait.
         age_s: age of the report.
+        changing: whether it changes to its other stage.
     """
 
     endpoint: str
@@ -49,6 +50,7 @@
     running: int
     waiting: int
     age_s: float
+    changing: bool = False
 
 
 class Beat(Message):
--- /dev/null
+++ b/tests/forward/test_keeper.py
@@ -0,0 +1,82 @@
+"""Agents that change the stages of the endpoints beside them."""
+
+import asyncio
+import random
+
+from ebonyglade.audit import AuditTrail
+from ebonyglade.context import Context, Identity
+from ebonyglade.forward.keeper import Keeper
+from ebonyglade.forward.stages import MISSING_S, wanted_change
+from ebonyglade.forward.types import EngineReport, Stage
+from ebonyglade_lab.virtual.adapter import plain_adapter
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
+from ebonyglade_lab.virtual.process import Process
+from helpers.forwarding import configuration, decode, listed
+
+POLL_S = 0.2
+
+
+class Agent:
+    """An agent on the fake network, beside an endpoint that takes orders."""
+
+    def __init__(self, network, name):
+        self.process = Process(name, "1")
+        clock = self.process.clock
+        context = Context(
+            me=Identity(name, "1", "z"),
+            transport=VirtualTransport(self.process, network),
+            clock=clock,
+            wall=clock,
+            rng=random.Random(name),
+        )
+        self.name, self.orders, self.context = name, [], context
+        self.core = Keeper(
+            context, plain_adapter, address(name), ("d1",), AuditTrail(clock)
+        )
+        network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
+        self.core.start()
+        self.process.spawn(self._run())
+
+    def list(self, names, revision):
+        documents = [listed(decode(n, address=address(n)), revision) for n in names]
+        self.core.belief.apply([configuration(1, 2), *documents], revision)
+
+    async def _run(self):
+        while True:
+            self.context.timers.fire(self.context.clock())
+            self.core.belief.confirm(self.context.clock())
+            report = EngineReport(Stage.DECODE, bool(self.orders), 0, 0, 0, 0, 80_000)
+            order = self.core.reported(report)
+            if order is not None:
+                self.orders.append(order.stage)
+            await asyncio.sleep(POLL_S)
+
+
+def address(name):
+    return f"10.0.0.1:80{ord(name[0])}{name[1]}"
+
+
+def test_one_change_is_under_way_though_the_list_does_not_show_it_yet():
+    """The prefill endpoint left; an endpoint joins while another one changes."""
+
+    async def scenario():
+        network = Network(random.Random(1))
+        agents = {name: Agent(network, name) for name in ("d1", "d2", "z1")}
+        for agent in agents.values():
+            agent.list(["d1", "d2"], 5)
+        await asyncio.sleep(MISSING_S + 1.0)
+        for agent in agents.values():
+            agent.list(["z1"], 6)
+        await asyncio.sleep(MISSING_S + 2.0)
+        return {name: agent.orders for name, agent in agents.items()}
+
+    assert run(scenario()) == {"d1": [], "d2": [Stage.PREFILL], "z1": []}
+
+
+def test_an_endpoint_that_changes_counts_for_the_stage_that_it_will_have():
+    pool = [decode("d1"), decode("d2"), decode("d3")]
+    assert wanted_change(pool).endpoint == "d3"
+    assert wanted_change(pool, {"d3"}) is None
+    # It is the last one that decodes; the other one goes back.
+    assert wanted_change([decode("d2"), decode("d3")], {"d2", "d3"}).endpoint == "d2"
