List the models that a caller may use at /v1/models

Cause: standard client libraries ask for the list before they send a prompt and got 404. Ruled out: a published service route for it, which each operator would have to write. Change: a filter after identification answers it from the view; a service route at that path goes before it, and a caller without a key is asked for one where nothing is open.

--- a/packages/ebonyglade/src/ebonyglade/dispatch/filters.py
+++ b/packages/ebonyglade/src/ebonyglade/dispatch/filters.py
@@ -24,7 +24,7 @@
 async def find_route(call: Call, proceed: Proceed) -> Reply:
     """Find the route, which must be open or allowed for the workspace."""
     routes = _candidates(call)
-    allowed = [entry for entry in routes if _may_use(call.owner, entry)]
+    allowed = [entry for entry in routes if may_use(call.owner, entry)]
     if not routes or (call.owner is not None and not allowed):
         return Err(refuse("route_unknown"))
     if not allowed:
@@ -63,7 +63,8 @@
     return path == prefix or path.startswith(prefix + "/")
 
 
-def _may_use(owner: Owner | None, entry: RouteEntry) -> bool:
+def may_use(owner: Owner | None, entry: RouteEntry) -> bool:
+    """Return whether a caller may use a route; None is a caller without a key."""
     if entry.route.open:
         return True
     if owner is None:
--- a/packages/ebonyglade/src/ebonyglade/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/entry.py
@@ -9,6 +9,7 @@
 from ebonyglade.dispatch.exchange import Exchange
 from ebonyglade.dispatch.filters import check_size, find_route, identify
 from ebonyglade.dispatch.keys import KeyGuard
+from ebonyglade.dispatch.listing import list_models
 from ebonyglade.dispatch.models import ModelDispatcher
 from ebonyglade.dispatch.services import ServiceDispatcher
 from ebonyglade.dispatch.tickets import (
@@ -80,6 +81,7 @@
             self.freshness.hold,
             self.keys.guard,
             identify,
+            list_models,
             find_route,
             check_size,
             require_ticket,
