Drop what nobody calls, and load entries' decisions in entries only

Cause: Belief told listeners that nobody was; RoomBook.wait and its length and the wait in RoomAnswer were left from an older way; the same rejection stood twice; and an agent loaded all decisions of an entry for the function that logs a change of the store. Ruled out: fields that the adapter's tests assert; they stay. Change: those parts are gone, the rejection is one method, the logging function stands beside what it logs. Conclusion: no change of behaviour; the line's logger is the belief's now.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from ebonyglade.audit import AuditTrail
-from ebonyglade.forward.entry import log_change
+from ebonyglade.forward.belief import log_change
 from ebonyglade.forward.keeper import Keeper, Order
 from ebonyglade_agent.staging.settings import StagingSettings
 from ebonyglade_node.forward_node import ForwardNode
--- a/packages/ebonyglade/src/ebonyglade/forward/belief.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/belief.py
@@ -6,10 +6,10 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ebonyglade.audit import AuditTrail, Outcome
+from ebonyglade.audit import AuditRecord, AuditTrail, Outcome
 from ebonyglade.forward import table as tables
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.table import RoutingTable
@@ -23,8 +23,6 @@
 LAPSE_S = 1.9
 NEVER = float("-inf")
 
-Changed = Callable[[], None]
-
 
 @dataclass(slots=True)
 class Belief:
@@ -49,11 +47,6 @@
     _confirmed_at: float = NEVER
     _outage_ended_at: float = NEVER
     _lapsed: dict[str, float] = field(default_factory=dict)
-    _listeners: list[Changed] = field(default_factory=list)
-
-    def listen(self, listener: Changed) -> None:
-        """Call `listener` after each change."""
-        self._listeners.append(listener)
 
     def age(self, now: float) -> float:
         """Return the seconds since the copy was last known to be complete."""
@@ -73,10 +66,9 @@
 
     def apply(self, documents: Iterable[Document], as_of: int) -> None:
         """Take changes that are complete from the copy's revision to `as_of`."""
-        changed = [item for item in documents if self._is_news(item)]
-        for item in changed:
+        for item in [item for item in documents if self._is_news(item)]:
             self._take(item)
-        self._finish(as_of, bool(changed))
+        self.as_of = max(self.as_of, as_of)
 
     def replace(self, documents: Iterable[Document], as_of: int) -> None:
         """Take everything that exists as of a revision.
@@ -97,8 +89,6 @@
         for name in over:
             del self._lapsed[name]
             self._drop(name, "missing after the store's return")
-        if over:
-            self._tell()
 
     def _is_news(self, item: Document) -> bool:
         known = self._documents.get(item.path)
@@ -125,8 +115,7 @@
         try:
             published = self.adapter.decode_published(item.value)
         except ValueError as error:
-            reason = str(error).replace("\n", " ")[:200]
-            self.audit.add(item.path, item.revision, Outcome.REJECTED, reason=reason)
+            self._reject(item, error)
             return
         if self.table is not None and published.version < self.table.version:
             reason = f"version {published.version} is older than the one in force"
@@ -144,8 +133,7 @@
         try:
             endpoint = self.adapter.decode_endpoint(name, item.value)
         except ValueError as error:
-            reason = str(error).replace("\n", " ")[:200]
-            self.audit.add(item.path, item.revision, Outcome.REJECTED, reason=reason)
+            self._reject(item, error)
             self.roster.endpoints.pop(name, None)
             return
         self._lapsed.pop(name, None)
@@ -184,11 +172,19 @@
             path = self.adapter.ENDPOINTS + name
             self.audit.add(path, revision, Outcome.REMOVED, reason=reason)
 
-    def _finish(self, as_of: int, changed: bool) -> None:
-        self.as_of = max(self.as_of, as_of)
-        if changed:
-            self._tell()
-
-    def _tell(self) -> None:
-        for listener in self._listeners:
-            listener()
+    def _reject(self, item: Document, error: ValueError) -> None:
+        reason = str(error).replace("\n", " ")[:200]
+        self.audit.add(item.path, item.revision, Outcome.REJECTED, reason=reason)
+
+
+def log_change(record: AuditRecord) -> None:
+    """Log a change of what the process knows of the store."""
+    logger.info(
+        "store change",
+        extra={
+            "path": record.path,
+            "revision": record.revision,
+            "outcome": record.outcome.value,
+            "reason": record.reason,
+        },
+    )
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -7,11 +7,11 @@
 
 from result import Err
 
-from ebonyglade.audit import AuditRecord, AuditTrail
+from ebonyglade.audit import AuditTrail
 from ebonyglade.context import Context
 from ebonyglade.forward import table as tables
 from ebonyglade.forward.adapter import Adapter
-from ebonyglade.forward.belief import Belief
+from ebonyglade.forward.belief import Belief, log_change
 from ebonyglade.forward.budget import BudgetTerms, FleetBudget
 from ebonyglade.forward.call import EndpointPort, ForwardCall, Reply
 from ebonyglade.forward.copies import Copies
@@ -308,16 +308,3 @@
     if prompt is None:
         return workspace.plain_cost
     return float(prompt.prompt_tokens + prompt.max_tokens)
-
-
-def log_change(record: AuditRecord) -> None:
-    """Log a change of what the process knows of the store."""
-    logger.info(
-        "store change",
-        extra={
-            "path": record.path,
-            "revision": record.revision,
-            "outcome": record.outcome.value,
-            "reason": record.reason,
-        },
-    )
--- a/packages/ebonyglade/src/ebonyglade/forward/room.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/room.py
@@ -160,14 +160,6 @@
         needs = [run.need() for run in self._runs.values()]
         return int(USED_PART * self.memory) - self._others - peak(needs)
 
-    def wait(self) -> float:
-        """Return the part of its answer that the next run to end still lacks."""
-        needs = [run.need() for run in self._runs.values()]
-        return min((need.growth for need in needs), default=0)
-
-    def __len__(self) -> int:
-        return len(self._runs)
-
     def _fits(self, run: _Run) -> bool:
         needs = [other.need() for other in self._runs.values()]
         most = peak([*needs, run.need()]) + self._others
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -194,12 +194,10 @@
     Attributes:
         ask: id of the ask.
         granted: whether there is room.
-        wait_s: seconds until room is expected, if there is none.
     """
 
     ask: str
     granted: bool
-    wait_s: float = 0.0
 
 
 class RoomDrop(Message):
--- a/tests/forward/test_start.py
+++ b/tests/forward/test_start.py
@@ -24,3 +24,10 @@
     run = [sys.executable, "-c", code]
     loaded = subprocess.run(run, capture_output=True, text=True, check=True)
     assert not set(USELESS) & set(loaded.stdout.split())
+
+
+def test_an_agent_loads_nothing_that_forwards_requests():
+    code = "import sys, ebonyglade_agent.staging.program; print(*sys.modules)"
+    run = [sys.executable, "-c", code]
+    loaded = subprocess.run(run, capture_output=True, text=True, check=True)
+    assert "ebonyglade.forward.entry" not in loaded.stdout.split()
