Hash several parts by one function

Cause: three modules hashed parts with their lengths before them, each with its own loop, and the one of forwarding by another algorithm. Ruled out: one fingerprint for all; they cover different fields of different calls. Change: ebonyglade.hashing.hexdigest serves all three. Digests of tickets and of the product's fingerprints stay as they were; those of forwarding are other text of the same length, which only entries of one fleet compare with each other. Conclusion: entries of two versions in one fleet count crashes apart until all are new.

--- a/packages/ebonyglade/src/ebonyglade/forward/crashes.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/crashes.py
@@ -5,10 +5,11 @@
 each other what they saw.
 """
 
-import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from ebonyglade.hashing import hexdigest
+
 CRASHES_REFUSED = 3  # crashes after which a request is sent no more
 REMEMBERED_S = 120.0
 MOST_FINGERPRINTS = 4096
@@ -17,11 +18,8 @@
 
 def fingerprint(workspace: str, method: str, target: str, body: bytes) -> str:
     """Return what the repeats of a request have in common."""
-    hashed = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (workspace.encode(), method.encode(), target.encode(), body):
-        hashed.update(len(part).to_bytes(8, "big"))
-        hashed.update(part)
-    return hashed.hexdigest()
+    parts = (workspace.encode(), method.encode(), target.encode(), body)
+    return hexdigest(parts, DIGEST_BYTES)
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/once/ticket.py
+++ b/packages/ebonyglade/src/ebonyglade/once/ticket.py
@@ -2,15 +2,17 @@
 
 import base64
 import binascii
-import hashlib
 import hmac
 
 import msgspec
 
+from ebonyglade.hashing import hexdigest
+
 PREFIX = "egt1"
 NONCE_BYTES = 12
 MAC_BYTES = 16
 SECRET_BYTES = 32
+DIGEST_BYTES = 32
 
 
 class Ticket(msgspec.Struct, frozen=True, array_like=True):
@@ -72,11 +74,7 @@
 
 def request_digest(method: str, path: str, body: bytes) -> str:
     """Return a digest that tells requests under one ticket apart."""
-    hashed = hashlib.sha256()
-    for part in (method.encode(), path.encode(), body):
-        hashed.update(len(part).to_bytes(8, "big"))
-        hashed.update(part)
-    return hashed.hexdigest()
+    return hexdigest((method.encode(), path.encode(), body), DIGEST_BYTES)
 
 
 def _mac(payload: bytes, workspace: str, secret: bytes) -> bytes:
--- a/packages/ebonyglade/src/ebonyglade/quarantine/fingerprint.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/fingerprint.py
@@ -1,19 +1,14 @@
 """Fingerprints of requests, which hold nothing of their text."""
 
-import hashlib
-
 from ebonyglade.calls import Call
+from ebonyglade.hashing import hexdigest
 
-FINGERPRINT_CHARS = 32
+FINGERPRINT_BYTES = 16
 
 
 def fingerprint(call: Call) -> str:
     """Return what repeats of a request have in common."""
-    hashed = hashlib.sha256()
-    for part in _parts(call):
-        hashed.update(len(part).to_bytes(8, "big"))
-        hashed.update(part)
-    return hashed.hexdigest()[:FINGERPRINT_CHARS]
+    return hexdigest(_parts(call), FINGERPRINT_BYTES)
 
 
 def _parts(call: Call) -> tuple[bytes, ...]:
