Make a process's context in one place

Cause: both kinds of daemon built the same context, line by line. Ruled out: a common base class, as they share nothing else. Change: new_context and new_incarnation in ebonyglade_node. Conclusion: no change of behaviour.

--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -1,18 +1,14 @@
 """Link, timers, metrics and store of a process behind an adapter."""
 
 import logging
-import random
-import secrets
-import time
 
 from mode import Service
 
-from ebonyglade.context import Context, Identity
+from ebonyglade.context import Identity
 from ebonyglade.errors import UserError
 from ebonyglade.forward.adapter import load_adapter
 from ebonyglade.forward.belief import Belief
 from ebonyglade.forward.members import Members
-from ebonyglade.invariants import Invariants
 from ebonyglade_node import logs
 from ebonyglade_node.clocks import suspended_clock
 from ebonyglade_node.endpoint_client import EndpointClient
@@ -20,13 +16,13 @@
 from ebonyglade_node.forward_settings import ForwardNodeSettings
 from ebonyglade_node.link import Link
 from ebonyglade_node.metrics import Metrics
+from ebonyglade_node.process_context import new_context, new_incarnation
 from ebonyglade_node.settings import load
 from ebonyglade_node.store_reader import StoreReader
 from ebonyglade_node.timers import TimerRunner
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BYTES = 8
 CONNECT_S = 0.3  # a machine of the same region answers a new connection sooner
 
 
@@ -39,7 +35,7 @@
         self.metrics = Metrics()
         self.adapter = load_adapter(settings.store.adapter)
         me = settings.instance
-        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        incarnation = new_incarnation()
         self.link = Link(
             me.for_link(),
             settings.fleet,
@@ -47,16 +43,8 @@
             self.metrics,
             queue_unconnected=False,
         )
-        self.context = Context(
-            me=Identity(me.address, incarnation, me.zone, me.region),
-            transport=self.link,
-            clock=suspended_clock,
-            wall=time.time,
-            rng=random.Random(secrets.randbits(128)),
-            token_bytes=secrets.token_bytes,
-            count=self.metrics.count,
-            invariants=Invariants(count=self.metrics.count),
-        )
+        identity = Identity(me.address, incarnation, me.zone, me.region)
+        self.context = new_context(identity, self.link, suspended_clock, self.metrics)
         self.link.on_message = self.context.deliver
         self.runner = TimerRunner(self.context)
         self.client: EndpointClient | None = None
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/process_context.py
@@ -0,0 +1,32 @@
+"""The context of a process: who it is, and its sources of time and chance."""
+
+import random
+import secrets
+import time
+
+from ebonyglade.context import Context, Identity
+from ebonyglade.invariants import Invariants
+from ebonyglade.ports import Clock
+from ebonyglade_node.link import Link
+from ebonyglade_node.metrics import Metrics
+
+INCARNATION_BYTES = 8
+
+
+def new_incarnation() -> str:
+    """Return what tells this process from others of the same instance."""
+    return secrets.token_hex(INCARNATION_BYTES)
+
+
+def new_context(me: Identity, link: Link, clock: Clock, metrics: Metrics) -> Context:
+    """Return the context of a process that sends through a link."""
+    return Context(
+        me=me,
+        transport=link,
+        clock=clock,
+        wall=time.time,
+        rng=random.Random(secrets.randbits(128)),
+        token_bytes=secrets.token_bytes,
+        count=metrics.count,
+        invariants=Invariants(count=metrics.count),
+    )
--- a/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/runtime.py
@@ -2,18 +2,14 @@
 
 import asyncio
 import logging
-import random
-import secrets
-import time
 from typing import Protocol
 
 from mode import Service
 
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.config.relay import Relay
-from ebonyglade.context import Context, Identity
+from ebonyglade.context import Identity
 from ebonyglade.events import Event
-from ebonyglade.invariants import Invariants
 from ebonyglade.members.health import Change
 from ebonyglade.members.peers import Peers
 from ebonyglade.ports import Sender
@@ -21,12 +17,12 @@
 from ebonyglade_node.link import Link
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.platform import PlatformWatcher
+from ebonyglade_node.process_context import new_context, new_incarnation
 from ebonyglade_node.settings import NodeSettings
 from ebonyglade_node.timers import TimerRunner
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BYTES = 8
 PRUNE_S = 10.0  # between two rounds that close idle connections
 
 
@@ -51,18 +47,10 @@
         self.settings = settings
         self.metrics = Metrics()
         me = settings.instance
-        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        incarnation = new_incarnation()
         self.link = Link(me, settings.fleet, incarnation, self.metrics)
-        self.context = Context(
-            me=Identity(me.id, incarnation, me.zone, me.region),
-            transport=self.link,
-            clock=clock,
-            wall=time.time,
-            rng=random.Random(secrets.randbits(128)),
-            token_bytes=secrets.token_bytes,
-            count=self.metrics.count,
-            invariants=Invariants(count=self.metrics.count),
-        )
+        identity = Identity(me.id, incarnation, me.zone, me.region)
+        self.context = new_context(identity, self.link, clock, self.metrics)
         self.runner = TimerRunner(self.context)
         self.config: ConfigController | None = None
         self._core: Core | None = None
