Share the worlds and contexts that tests build

Cause: three tests started the same small world, and three built the same context of a process on the fake network.

--- a/tests/forward/test_fleet.py
+++ b/tests/forward/test_fleet.py
@@ -2,16 +2,16 @@
 import random
 
 from ebonyglade.audit import AuditTrail
-from ebonyglade.context import Context, Identity
 from ebonyglade.forward.belief import Belief
 from ebonyglade.forward.copies import Copies
 from ebonyglade.forward.members import FORGET_S, LIVE_S, Members
 from ebonyglade.wire.fleet import Beat
 from ebonyglade_lab.virtual.adapter import plain_adapter
 from ebonyglade_lab.virtual.loop import run
-from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
+from ebonyglade_lab.virtual.network import Network, open_frame
 from ebonyglade_lab.virtual.process import Process
 from helpers.forwarding import configuration, endpoint, listed
+from helpers.members import member_context
 
 
 class Node:
@@ -20,13 +20,7 @@
     def __init__(self, network, name, seeds, incarnation="1"):
         self.process = Process(name, incarnation)
         clock = self.process.clock
-        self.context = Context(
-            me=Identity(name, incarnation, "z"),
-            transport=VirtualTransport(self.process, network),
-            clock=clock,
-            wall=clock,
-            rng=random.Random(name),
-        )
+        self.context = member_context(self.process, network)
         self.belief = Belief(plain_adapter, clock, AuditTrail(clock))
         self.copies = Copies(self.context, self.belief)
         self.members = Members(self.context, seeds, self._compose)
--- a/tests/forward/test_keeper.py
+++ b/tests/forward/test_keeper.py
@@ -4,15 +4,15 @@
 import random
 
 from ebonyglade.audit import AuditTrail
-from ebonyglade.context import Context, Identity
 from ebonyglade.forward.keeper import Keeper
 from ebonyglade.forward.stages import MISSING_S, wanted_change
 from ebonyglade.forward.types import EngineReport, Stage
 from ebonyglade_lab.virtual.adapter import plain_adapter
 from ebonyglade_lab.virtual.loop import run
-from ebonyglade_lab.virtual.network import Network, VirtualTransport, open_frame
+from ebonyglade_lab.virtual.network import Network, open_frame
 from ebonyglade_lab.virtual.process import Process
 from helpers.forwarding import configuration, decode, listed
+from helpers.members import member_context
 
 POLL_S = 0.2
 
@@ -22,17 +22,10 @@
 
     def __init__(self, network, name):
         self.process = Process(name, "1")
-        clock = self.process.clock
-        context = Context(
-            me=Identity(name, "1", "z"),
-            transport=VirtualTransport(self.process, network),
-            clock=clock,
-            wall=clock,
-            rng=random.Random(name),
-        )
+        context = member_context(self.process, network)
         self.name, self.orders, self.context = name, [], context
         self.core = Keeper(
-            context, plain_adapter, address(name), ("d1",), AuditTrail(clock)
+            context, plain_adapter, address(name), ("d1",), AuditTrail(context.clock)
         )
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
         self.core.start()
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -1,18 +1,17 @@
 """Entries on a fake network, with their decisions and without sockets."""
 
 import asyncio
-import random
 
-from ebonyglade.context import Context, Identity
 from ebonyglade.forward.budget import BudgetTerms
 from ebonyglade.forward.call import ForwardCall
 from ebonyglade.forward.entry import ForwardEntry, ForwardTerms
 from ebonyglade.forward.rates import RateTerms
 from ebonyglade.forward.types import Repeat, RequestFacts, Share, Workspace
 from ebonyglade_lab.virtual.adapter import plain_adapter
-from ebonyglade_lab.virtual.network import VirtualTransport, open_frame
+from ebonyglade_lab.virtual.network import open_frame
 from ebonyglade_lab.virtual.process import Process
 from helpers.forwarding import configuration, prompt, route
+from helpers.members import member_context
 
 WORKSPACE = Workspace("w", ("key",), rate=100_000.0, burst=200_000.0)
 FRESH = RateTerms(first_start=True)
@@ -23,14 +22,7 @@
 
     def __init__(self, network, name, rates=FRESH):
         self.process = Process(name, "1")
-        clock = self.process.clock
-        context = Context(
-            me=Identity(name, "1", "z"),
-            transport=VirtualTransport(self.process, network),
-            clock=clock,
-            wall=clock,
-            rng=random.Random(name),
-        )
+        context = member_context(self.process, network)
         terms = ForwardTerms(None, BudgetTerms(0.2, 10.0, 50.0), rates)
         self.core = ForwardEntry(context, plain_adapter, None, terms, ("e0",))
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
@@ -39,7 +31,7 @@
         routes = [route(Repeat.STREAM, shares=shares, target_s=1.0, timeout_s=14.0)]
         published = configuration(1, 2, routes=routes, workspaces=(WORKSPACE,))
         self.core.belief.apply([published], 50)
-        self.core.belief.confirm(clock())
+        self.core.belief.confirm(context.clock())
         self.process.spawn(self._run())
 
     @property
--- /dev/null
+++ b/tests/helpers/members.py
@@ -0,0 +1,17 @@
+"""Contexts of processes on the fake network."""
+
+import random
+
+from ebonyglade.context import Context, Identity
+from ebonyglade_lab.virtual.network import VirtualTransport
+
+
+def member_context(process, network):
+    """Return the context of a process that is named by its address."""
+    return Context(
+        me=Identity(process.instance, process.incarnation, "z"),
+        transport=VirtualTransport(process, network),
+        clock=process.clock,
+        wall=process.clock,
+        rng=random.Random(process.instance),
+    )
--- a/tests/helpers/worlds.py
+++ b/tests/helpers/worlds.py
@@ -1,5 +1,8 @@
 """Small worlds that tests share."""
 
+import asyncio
+
+from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.world import World
 
 KEY = "aula/physics"
@@ -16,3 +19,14 @@
     for index in range(entries):
         world.add_entry(f"entry-{index}")
     return world
+
+
+def in_world(scenario, **options):
+    """Run a scenario in a small world whose processes have found each other."""
+
+    async def start():
+        world = small_world(**options)
+        await asyncio.sleep(1)
+        return await scenario(world)
+
+    return run(start())
--- a/tests/test_once_world.py
+++ b/tests/test_once_world.py
@@ -9,22 +9,12 @@
 from ebonyglade.pause import PauseGuard
 from ebonyglade.wire.work import Serve
 from ebonyglade_lab.virtual import endpoints
-from ebonyglade_lab.virtual.loop import run
 from helpers.bookings import Recorder, book, executions, owner, ticket, told, until
-from helpers.worlds import KEY, small_world
+from helpers.worlds import KEY, in_world
 
 BODY = b"room 1, nine o'clock"
 
 
-def in_world(scenario, **options):
-    async def start():
-        world = small_world(**options)
-        await asyncio.sleep(1)
-        return await scenario(world)
-
-    return run(start())
-
-
 def slow(world, seconds):
     for service in world.services.values():
         service.seconds = seconds
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,10 +17,9 @@
 from ebonyglade_lab.standins.answers import answer_tokens
 from ebonyglade_lab.virtual import endpoints
 from ebonyglade_lab.virtual.endpoints import POISON
-from ebonyglade_lab.virtual.loop import run
 from helpers.bookings import told
 from helpers.failing import prompt, steady
-from helpers.worlds import KEY, small_world
+from helpers.worlds import KEY, in_world
 
 MOST_LOST = 3  # endpoints that one poison request may take along
 TEXT = f"{POISON} of a caller"
@@ -110,15 +109,6 @@
     assert deaths.admit("2", True, held.__contains__)
 
 
-def in_world(scenario, **options):
-    async def start():
-        world = small_world(**options)
-        await asyncio.sleep(1)
-        return await scenario(world)
-
-    return run(start())
-
-
 def poison(world):
     return world.model_call(KEY, TEXT, max_tokens=8)
 
--- a/tests/test_retry_world.py
+++ b/tests/test_retry_world.py
@@ -11,24 +11,14 @@
 from ebonyglade.verdict import Verdict
 from ebonyglade_lab.standins.answers import answer_tokens
 from ebonyglade_lab.virtual import endpoints
-from ebonyglade_lab.virtual.loop import run
 from helpers.bookings import book, executions, told
 from helpers.failing import Sendings, down, prompt, steady
-from helpers.worlds import KEY, small_world
+from helpers.worlds import KEY, in_world
 
 MOST_ATTEMPTS = 1.1  # for each request, with half of the endpoints down
 REQUESTS = 600
 
 
-def in_world(scenario, **options):
-    async def start():
-        world = small_world(**options)
-        await asyncio.sleep(1)
-        return await scenario(world)
-
-    return run(start())
-
-
 async def _half_down(world):
     down(world, ["prefill-0", "prefill-1", "decode-0", "decode-1"])
     sendings = Sendings(world)
