--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -59,12 +59,14 @@
 
     async def _poll_once(self, address: str) -> None:
         adapter = self.node.adapter
-        status, body = await self.node.client.call(
+        response = await self.node.client.call(
             address, adapter.report_call(), CALL_TIMEOUT_S
         )
-        if status != 200:
-            raise ValueError(f"status {status}")
-        order = self.agent.on_report(adapter.decode_report(body))
+        if adapter.read_answer(response.status, response.headers).leaving:
+            self.agent.on_leaving()
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        order = self.agent.on_report(adapter.decode_report(response.body))
         if order is not None:
             await self._send_order(address, order)
 
@@ -75,16 +77,17 @@
             order.fencing_token,
             order.accepted_orders,
         )
-        status, _ = await self.node.client.call(address, call, CALL_TIMEOUT_S)
+        response = await self.node.client.call(address, call, CALL_TIMEOUT_S)
         self.node.metrics.count("orders")
-        log = logger.info if status in ACCEPTED_STATUSES else logger.warning
+        accepted = response.status in ACCEPTED_STATUSES
+        log = logger.info if accepted else logger.warning
         log(
             "stage order sent",
             extra={
                 "stage": order.stage.value,
                 "fence": order.fencing_token,
                 "orders_before": order.accepted_orders,
-                "status": status,
+                "status": response.status,
             },
         )
 
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -259,8 +259,7 @@
                 "endpoints": ",".join(call.endpoints) if call else "",
                 "outcome": outcome,
                 "seconds": round(now - started, 4),
-                "store_revision": replica.as_of,
-                "store_age": round(min(replica.age(now), 1e6), 3),
+                **replica.log_fields(now),
             },
         )
 
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/adapter.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/adapter.py
@@ -45,7 +45,14 @@
 
 
 def _read_answer(status: int, headers: dict) -> ResponseMetadata:
-    return ResponseMetadata("", True, True)
+    retry_after = headers.get("retry-after")
+    return ResponseMetadata(
+        "",
+        True,
+        True,
+        leaving="leaving" in headers,
+        retry_after_s=None if retry_after is None else float(retry_after),
+    )
 
 
 plain_adapter = SimpleNamespace(
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -18,7 +18,7 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from ebonyglade.forward.types import ControlCall, Headers
+from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
 
 # A connection is closed if sent data stays unacknowledged for this time.
 UNACKED_TIMEOUT_MS = 1500
@@ -220,8 +220,8 @@
 
     async def call(
         self, address: str, call: ControlCall, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Make a control call, which runs no request; return its status and body.
+    ) -> ControlResponse:
+        """Make a control call, which runs no request; return its response.
 
         Raises:
             aiohttp.ClientError: there is no complete response.
@@ -233,7 +233,9 @@
                 address, call.method, call.target, headers, call.body, SendAttempt()
             )
             async with response:
-                return response.status, await response.read()
+                return ControlResponse(
+                    response.status, response.headers, await response.read()
+                )
 
 
 def _open_socket(info: tuple) -> socket.socket:
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -15,7 +15,12 @@
     ForwardCall,
     IncompleteResponse,
 )
-from ebonyglade.forward.types import ControlCall, Endpoint, EndpointInstructions
+from ebonyglade.forward.types import (
+    ControlCall,
+    ControlResponse,
+    Endpoint,
+    EndpointInstructions,
+)
 from ebonyglade_node.endpoint_client import EndpointClient, NotSent, SendAttempt
 
 NOT_CONNECTED_ERRORS = (
@@ -64,7 +69,7 @@
 
     async def control(
         self, endpoint: Endpoint, call: ControlCall, timeout_s: float
-    ) -> Result[tuple[int, bytes], AttemptFailure]:
+    ) -> Result[ControlResponse, AttemptFailure]:
         """Make a control call, which runs no request."""
         try:
             return Ok(await self.client.call(endpoint.address, call, timeout_s))
@@ -79,9 +84,8 @@
             # The body has no more information. After a short one the connection can
             # be reused.
             response.release()
-            return Err(
-                AttemptFailure(FailureKind.REJECTED, f"status {response.status}")
-            )
+            reason = f"status {response.status}"
+            return Err(AttemptFailure(FailureKind.REJECTED, reason, metadata))
         headers = [(str(name), str(value)) for name, value in response.headers.items()]
         return Ok(
             EndpointResponse(
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -70,7 +70,8 @@
             self.metrics,
         )
         self.metrics.gauge("log_lines_dropped", logs.dropped_lines)
-        self.metrics.gauge("store_revision", lambda: replica.as_of)
+        self.metrics.gauge("store_era", lambda: replica.as_of.era)
+        self.metrics.gauge("store_revision", lambda: replica.as_of.revision)
         self.metrics.gauge(
             "store_age_seconds", lambda: replica.age(self.context.clock())
         )
--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -10,7 +10,13 @@
 
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.forward.types import ControlCall, StoreDocument, StorePage
+from ebonyglade.forward.types import (
+    ControlCall,
+    ControlResponse,
+    StoreDocument,
+    StorePage,
+    StoreVersion,
+)
 from ebonyglade.ports import Clock
 from ebonyglade_node.endpoint_client import EndpointClient
 from ebonyglade_node.metrics import Metrics
@@ -72,46 +78,59 @@
     async def _read_all(self) -> None:
         started = self._clock()
         documents: list[StoreDocument] = []
-        after, as_of = "", None
+        as_of: StoreVersion | None = None
+        after = ""
         while True:
             call = self._adapter.range_call(ALL_PATHS, after)
             page = await self._call(call, READ_TIMEOUT_S, self._adapter.decode_page)
-            # The pages are not one snapshot, so the watch starts at the revision of
+            # The pages are not one snapshot, so the watch starts at the version of
             # the first page.
             as_of = page.as_of if as_of is None else as_of
+            if page.as_of.era != as_of.era:
+                logger.info("store changed its era between two pages; reading again")
+                return
             documents += page.documents
             if not page.truncated or not page.documents:
                 break
             after = page.documents[-1].path
         self._record_success()
-        self._replica.replace(documents, as_of)
-        self._replica.confirm_current_at(started)
-        self._has_snapshot = True
+        if self._replica.replace(documents, as_of):
+            self._replica.confirm_current_at(started)
+            self._has_snapshot = True
 
     async def _watch(self) -> None:
         started = self._clock()
+        after = self._replica.as_of
         # While the store is unreachable, a short wait shows sooner that it is back.
         unreachable = self._failing_since is not None
         wait_s = PROBE_WAIT_S if unreachable else self._wait_s
-        call = self._adapter.watch_call(ALL_PATHS, self._replica.as_of, wait_s)
+        call = self._adapter.watch_call(ALL_PATHS, after.revision, wait_s)
         timeout_s = wait_s + (PROBE_MARGIN_S if unreachable else RESPONSE_MARGIN_S)
         page = await self._call(call, timeout_s, self._adapter.decode_watch)
         self._record_success()
-        self._replica.apply(page.documents, page.as_of)
-        self._replica.confirm_current_at(started)
+        if page.as_of.era != after.era:
+            # The changes are those after a revision of another era, so that some of
+            # this era are missing among them.
+            self._has_snapshot = False
+            return
+        if self._replica.apply(page.documents, page.as_of):
+            self._replica.confirm_current_at(started)
 
     async def _call(
-        self, call: ControlCall, timeout_s: float, decode: Callable[[bytes], StorePage]
+        self,
+        call: ControlCall,
+        timeout_s: float,
+        decode: Callable[[ControlResponse], StorePage],
     ) -> StorePage:
         self._metrics.count("store_calls")
-        status, body = await self._client.call(self._address, call, timeout_s)
-        if status == HISTORY_GONE_STATUS:
+        response = await self._client.call(self._address, call, timeout_s)
+        if response.status == HISTORY_GONE_STATUS:
             # The missed changes are gone, so the whole store is read again.
             self._has_snapshot = False
-        if status != 200:
-            raise StoreUnavailable(f"status {status}")
+        if response.status != 200:
+            raise StoreUnavailable(f"status {response.status}")
         try:
-            return decode(body)
+            return decode(response)
         except ValueError as error:
             raise StoreUnavailable(f"invalid response: {error}") from error
 
--- a/packages/ebonyglade/src/ebonyglade/audit.py
+++ b/packages/ebonyglade/src/ebonyglade/audit.py
@@ -29,6 +29,8 @@
         outcome: result of the change.
         author: author of the change as named in its document; may be empty.
         reason: why it was rejected or ignored; may be empty.
+        era: era of the platform's store that the revision belongs to; 0 where the
+            store has none.
     """
 
     at: float
@@ -37,6 +39,7 @@
     outcome: Outcome
     author: str = ""
     reason: str = ""
+    era: int = 0
 
 
 class AuditTrail:
@@ -59,9 +62,12 @@
         outcome: Outcome,
         author: str = "",
         reason: str = "",
+        era: int = 0,
     ) -> AuditRecord:
         """Append a record and pass it to the listener."""
-        record = AuditRecord(self._clock(), path, revision, outcome, author, reason)
+        record = AuditRecord(
+            self._clock(), path, revision, outcome, author, reason, era
+        )
         self._records.append(record)
         if self._listener is not None:
             self._listener(record)
--- a/packages/ebonyglade/src/ebonyglade/forward/adapter.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/adapter.py
@@ -11,6 +11,7 @@
 from ebonyglade.errors import UserError
 from ebonyglade.forward.types import (
     ControlCall,
+    ControlResponse,
     Endpoint,
     EndpointInstructions,
     EngineReport,
@@ -47,12 +48,12 @@
         """Return the call that waits for changes in the store."""
         ...
 
-    def decode_page(self, body: bytes) -> StorePage:
-        """Return the page of the store in a response body."""
+    def decode_page(self, response: ControlResponse) -> StorePage:
+        """Return the page of the store in a response."""
         ...
 
-    def decode_watch(self, body: bytes) -> StorePage:
-        """Return the store's changes in a response body."""
+    def decode_watch(self, response: ControlResponse) -> StorePage:
+        """Return the store's changes in a response."""
         ...
 
     def decode_published(self, value: bytes) -> PublishedConfiguration:
--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -20,7 +20,7 @@
     next_stage_change,
 )
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.forward.types import Endpoint, EngineReport, Stage
+from ebonyglade.forward.types import Endpoint, EngineReport, Stage, StoreVersion
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
     EngineState,
@@ -38,6 +38,10 @@
 MAX_REPLICA_AGE_S = 2.5
 CHANGE_EXPIRY_S = 1.5  # a stage change that another agent reported counts this long
 MAX_REPORT_AGE_S = 1.0  # memory is granted only on a report that is younger
+REFRESH_INTERVAL_S = 0.2  # between two checks for endpoints that are not listed again
+# Revisions of one era stay below this power of two. An era and a revision together
+# are still exact for peers that decode numbers as doubles.
+FENCE_REVISION_BITS = 40
 CHANGE_DELAY_S = {Stage.DECODE: TO_DECODE_DELAY_S, Stage.PREFILL: TO_PREFILL_DELAY_S}
 
 
@@ -47,8 +51,7 @@
 
     Attributes:
         stage: new stage.
-        fencing_token: fencing token: the store's revision, which never decreases and
-            survives restarts of this process.
+        fencing_token: see `fencing_token`.
         accepted_orders: number of orders that the endpoint has accepted so far.
     """
 
@@ -57,6 +60,15 @@
     accepted_orders: int
 
 
+def fencing_token(version: StoreVersion) -> int:
+    """Return a fencing token that never decreases, not even over restarts.
+
+    The store's version never decreases and is read again after a restart of this
+    process. Revisions alone go back when the store comes back from an older copy.
+    """
+    return version.era << FENCE_REVISION_BITS | version.revision
+
+
 class ForwardAgent:
     """Decides the stage of the endpoint beside an agent and grants its memory."""
 
@@ -89,6 +101,7 @@
             self._on_heartbeat,
         ]
         self.members.start()
+        self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
         self.context.handle(
             {
                 MemoryRequest: self._on_memory_request,
@@ -129,7 +142,14 @@
             return None
         if now - self._planned_since < CHANGE_DELAY_S[planned.stage]:
             return None
-        return StageOrder(planned.stage, self.replica.as_of, report.orders)
+        return StageOrder(
+            planned.stage, fencing_token(self.replica.as_of), report.orders
+        )
+
+    def on_leaving(self) -> None:
+        """Record that the endpoint beside this agent states that it leaves."""
+        if self.endpoint is not None:
+            self.replica.mark_leaving(self.endpoint.id)
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         """Record whether a member's endpoint is changing its stage."""
@@ -158,6 +178,7 @@
             zone=self.context.identity.zone,
             members=self.members.recent_members(now),
             store=self.replica_sync.store_state(),
+            leaving=self.replica_sync.leaving_records(),
             engine=self._engine_state(now),
         )
 
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -21,7 +21,14 @@
 from ebonyglade.forward.endpoint_loads import EndpointLoads
 from ebonyglade.forward.retry_budget import FleetRetryBudget
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.forward.types import ControlCall, Endpoint, EndpointInstructions, Stage
+from ebonyglade.forward.types import (
+    ControlCall,
+    ControlResponse,
+    Endpoint,
+    EndpointInstructions,
+    ResponseMetadata,
+    Stage,
+)
 from ebonyglade.ports import Clock
 from ebonyglade.verdict import Refusal, Verdict, combine_verdicts, refuse
 
@@ -70,6 +77,14 @@
         listed = self.replica.registry.accepting(call.service.name, stage)
         return self.loads.choose(listed, excluded, self.zone, self.clock(), self.rng)
 
+    def paused_for(self, call: ForwardCall, stage: Stage | None = None) -> float:
+        """Return the seconds until an endpoint takes requests again.
+
+        The result is zero if one takes them now, or if there is none.
+        """
+        listed = self.replica.registry.accepting(call.service.name, stage)
+        return self.loads.paused_for([item.id for item in listed], self.clock())
+
     def remaining_s(self, call: ForwardCall) -> float:
         """Return the seconds until the request's deadline."""
         return call.deadline - self.clock()
@@ -108,11 +123,26 @@
         self._record_outcome(call, endpoint, sent, runs_request)
         return sent
 
+    async def control(
+        self, endpoint: Endpoint, call: ControlCall
+    ) -> Result[ControlResponse, AttemptFailure]:
+        """Make a control call and record what its response says of the endpoint."""
+        sent = await self.port.control(endpoint, call, CONTROL_TIMEOUT_S)
+        if isinstance(sent, Ok):
+            response = sent.ok_value
+            metadata = self.adapter.read_answer(response.status, response.headers)
+            self._record_metadata(endpoint, metadata)
+        return sent
+
     def send_in_background(self, endpoint: Endpoint, call: ControlCall) -> None:
-        """Make a control call without waiting for its response."""
-        task = asyncio.ensure_future(
-            self.port.control(endpoint, call, CONTROL_TIMEOUT_S)
-        )
+        """Make a control call without waiting for its response.
+
+        It is not made to an endpoint that is paused; what it would release there
+        expires by itself.
+        """
+        if self.loads.is_paused(endpoint.id, self.clock()):
+            return
+        task = asyncio.ensure_future(self.control(endpoint, call))
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
 
@@ -133,6 +163,9 @@
         if call.verdict is Verdict.NOT_RUN:
             if self.remaining_s(call) <= MIN_REMAINING_S:
                 return refuse("not_started")
+            paused_for = self.paused_for(call)
+            if paused_for > 0:
+                return refuse("overloaded", retry_after=paused_for)
             if failure is not None and failure.kind is FailureKind.REJECTED:
                 return refuse("overloaded")
             return refuse("no_endpoint" if failure is None else "endpoint_down")
@@ -163,12 +196,13 @@
         now = self.clock()
         if isinstance(sent, Ok):
             response = sent.ok_value
+            self._record_metadata(endpoint, response.metadata)
             self.loads.record_outcome(endpoint.id, response.status >= 500, now)
             self.loads.ejections.record_success([endpoint.id])
-            if response.metadata.load is not None:
-                self.loads.record_load(endpoint.id, response.metadata.load, now)
             return
         failure = sent.err_value
+        if failure.metadata is not None:
+            self._record_metadata(endpoint, failure.metadata)
         self.count(f"failed_{failure.kind.value}")
         logger.info(
             "attempt failed",
@@ -177,14 +211,27 @@
                 "endpoint": endpoint.id,
                 "trouble": failure.kind.value,
                 "reason": failure.reason,
-                "store_revision": self.replica.as_of,
-                "store_age": round(self.replica.age(now), 3),
+                **self.replica.log_fields(now),
             },
         )
         _FAILURE_HANDLERS[failure.kind](self, call, endpoint, now)
         if runs_request:
             call.verdict = combine_verdicts(call.verdict, failure.verdict)
 
+    def _record_metadata(self, endpoint: Endpoint, metadata: ResponseMetadata) -> None:
+        """Record what an endpoint says of itself in any response."""
+        now = self.clock()
+        if metadata.load is not None:
+            self.loads.record_load(endpoint.id, metadata.load, now)
+        if metadata.leaving:
+            self.replica.mark_leaving(endpoint.id)
+        if metadata.retry_after_s is not None:
+            self.loads.pause(endpoint.id, now + metadata.retry_after_s)
+            logger.info(
+                "endpoint paused",
+                extra={"endpoint": endpoint.id, "seconds": metadata.retry_after_s},
+            )
+
     def _on_not_sent(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
         self.loads.ejections.record_failure(endpoint.id, now)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -9,6 +9,7 @@
 
 from ebonyglade.forward.types import (
     ControlCall,
+    ControlResponse,
     Endpoint,
     EndpointInstructions,
     Headers,
@@ -114,10 +115,12 @@
     Attributes:
         kind: how it failed.
         reason: description for the log.
+        metadata: headers of the response, if there was one.
     """
 
     kind: FailureKind
     reason: str
+    metadata: ResponseMetadata | None = None
 
     @property
     def verdict(self) -> Verdict:
@@ -195,6 +198,6 @@
 
     async def control(
         self, endpoint: Endpoint, call: ControlCall, timeout_s: float
-    ) -> Result[tuple[int, bytes], AttemptFailure]:
+    ) -> Result[ControlResponse, AttemptFailure]:
         """Make a control call, which runs no request."""
         ...
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -121,7 +121,7 @@
         self.members.start()
         self.context.handle({RefusalNotice: self._on_refused})
         self.context.every(CLEANUP_INTERVAL_S, self._clean_up)
-        self.context.every(CLEANUP_INTERVAL_S / 5, self.replica.drop_missing)
+        self.context.every(CLEANUP_INTERVAL_S / 5, self.replica.refresh_endpoints)
 
     @property
     def ready(self) -> bool:
@@ -162,8 +162,7 @@
                 "tokens_left": self.rates.level(call.workspace_name),
                 "retry_after": refusal.retry_after,
                 "configuration": table.version if table else 0,
-                "store_revision": self.replica.as_of,
-                "store_age": round(min(self.replica.age(now), 1e6), 3),
+                **self.replica.log_fields(now),
             },
         )
 
@@ -305,6 +304,7 @@
             store=self.replica_sync.store_state(),
             spent=self.rates.spent,
             crashes=self.crashes.own_counts(now),
+            leaving=self.replica_sync.leaving_records(),
         )
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
@@ -10,10 +10,11 @@
 from ebonyglade.context import Context
 from ebonyglade.forward.members import Member
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.forward.types import StoreDocument
+from ebonyglade.forward.types import NO_VERSION, StoreDocument, StoreVersion
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
     FleetHeartbeat,
+    LeavingRecord,
     ReplicaDocument,
     ReplicaRequest,
     ReplicaResponse,
@@ -39,10 +40,24 @@
         )
 
     def store_state(self) -> StoreState:
-        """Return the revision and age of this process' replica."""
-        age = self.replica.age(self.context.clock())
-        known = self.replica.as_of > 0 and age < float("inf")
-        return StoreState(self.replica.as_of, age if known else -1.0)
+        """Return the version and age of this process' replica."""
+        replica = self.replica
+        age = replica.age(self.context.clock())
+        known = replica.as_of > NO_VERSION and age < float("inf")
+        return StoreState(
+            replica.as_of.revision,
+            age if known else -1.0,
+            replica.as_of.era,
+            replica.configuration_version,
+        )
+
+    def leaving_records(self) -> list[LeavingRecord]:
+        """Return the endpoints that told this process that they leave."""
+        observed = self.replica.leaving.observed()
+        return [
+            LeavingRecord(name, version.era, version.revision)
+            for name, version in observed.items()
+        ]
 
     def on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         """Request the member's replica if it is newer, else confirm the own one.
@@ -50,15 +65,24 @@
         The own replica is confirmed as of the member's last confirmation. `echo` is a
         time of this process' clock, so that the clocks need not agree.
         """
+        replica = self.replica
+        for record in heartbeat.leaving:
+            outdated = StoreVersion(record.era, record.revision)
+            replica.mark_leaving(record.endpoint, outdated, observed=False)
         state = heartbeat.store
         if state.age_s < 0:
             return
-        if state.as_of > self.replica.as_of:
+        version = StoreVersion(state.era, state.as_of)
+        if (
+            version > replica.as_of
+            or state.configuration > replica.configuration_version
+        ):
             self._request(member)
-        elif heartbeat.echo >= 0:
+        elif heartbeat.echo >= 0 and version.era == replica.as_of.era:
             # The own replica contains everything up to the member's revision, so
-            # that the member's confirmation holds for it too.
-            self.replica.confirm_current_at(heartbeat.echo - state.age_s)
+            # that the member's confirmation holds for it too. A member of an older
+            # era confirms what the store has lost since.
+            replica.confirm_current_at(heartbeat.echo - state.age_s)
 
     def _request(self, member: Member) -> None:
         now = self.context.clock()
@@ -68,40 +92,62 @@
         ):
             return
         self._requested_at[member.address] = now
-        self.context.send(member.address, ReplicaRequest(self.replica.as_of, now))
+        replica = self.replica
+        self.context.send(
+            member.address,
+            ReplicaRequest(
+                replica.as_of.revision,
+                now,
+                replica.as_of.era,
+                replica.configuration_version,
+            ),
+        )
 
     def _on_request(self, sender: Sender, message: ReplicaRequest) -> None:
-        replica = self.replica
         state = self.store_state()
         if state.age_s < 0:
             return
+        after = StoreVersion(message.era, message.after)
+        documents = list(self.replica.documents())
         response = ReplicaResponse(
             message.sent_at,
             state.as_of,
             state.age_s,
-            [item.path for item in replica.documents()],
+            [item.path for item in documents],
             [
-                ReplicaDocument(item.path, item.value, item.revision)
-                for item in replica.documents()
-                if item.revision > message.after
+                ReplicaDocument(item.path, item.value, item.version.revision)
+                for item in documents
+                if item.version > after or self._has_newer_configuration(item, message)
             ],
+            state.era,
         )
         self.context.transport.set_address(sender.instance, sender.address)
         self.context.send(sender.instance, response)
 
+    def _has_newer_configuration(
+        self, item: StoreDocument, message: ReplicaRequest
+    ) -> bool:
+        replica = self.replica
+        return (
+            item.path == replica.adapter.CONFIGURATION
+            and replica.configuration_version > message.configuration
+        )
+
     def _on_response(self, sender: Sender, response: ReplicaResponse) -> None:
         replica = self.replica
-        if response.as_of < replica.as_of:
-            return
+        as_of = StoreVersion(response.era, response.as_of)
         changed = [
-            StoreDocument(item.path, item.value, item.revision)
+            StoreDocument(
+                item.path, item.value, StoreVersion(response.era, item.revision)
+            )
             for item in response.changed
         ]
-        kept = set(response.paths)
-        gone = [
-            StoreDocument(item.path, None, response.as_of)
-            for item in replica.documents()
-            if item.path not in kept and item.revision <= response.as_of
-        ]
-        replica.apply([*changed, *gone], response.as_of)
-        replica.confirm_current_at(response.sent_at - response.age_s)
+        for item in changed:
+            if item.path == replica.adapter.CONFIGURATION:
+                replica.adopt_configuration(item)
+        if as_of < replica.as_of:
+            return
+        unchanged = set(response.paths) - {item.path for item in changed}
+        kept = [item for item in replica.documents() if item.path in unchanged]
+        if replica.replace([*changed, *kept], as_of):
+            replica.confirm_current_at(response.sent_at - response.age_s)
--- a/packages/ebonyglade/src/ebonyglade/forward/reserver.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/reserver.py
@@ -7,11 +7,7 @@
 from result import Err, Ok, Result
 
 from ebonyglade.forward.agent_client import AgentClient
-from ebonyglade.forward.attempts import (
-    CONTROL_TIMEOUT_S,
-    MIN_REMAINING_S,
-    AttemptSender,
-)
+from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender
 from ebonyglade.forward.call import ForwardCall
 from ebonyglade.forward.memory_estimates import (
     MemoryEstimates,
@@ -35,6 +31,18 @@
 RETRY_AFTER_S = 1.0  # sent to a caller whose request got no memory
 
 
+class _AllPaused(Exception):
+    """No decode endpoint takes requests for longer than a request can wait.
+
+    Attributes:
+        seconds: time until the first one takes requests again.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(f"all decode endpoints are paused for {seconds:.3f} s")
+        self.seconds = seconds
+
+
 @dataclass(slots=True)
 class MemoryReservation:
     """Reserved memory at a decode endpoint.
@@ -70,46 +78,58 @@
         self, call: ForwardCall, excluded: set[str]
     ) -> Result[MemoryReservation, Refusal]:
         """Wait in the queue until memory at a decode endpoint is reserved."""
-        attempts = self.attempts
         available_in = self._decode_available_in(call.service)
         if available_in > MAX_MEMORY_WAIT_S:
             self._log_no_decode(call, available_in)
             return Err(refuse("no_endpoint", retry_after=available_in))
-        queue = self._queue(call.service.name)
         give_up_at = min(
             call.arrived_at + MAX_MEMORY_WAIT_S, call.deadline - MIN_REMAINING_S
         )
-        tokens = reservation_tokens(call.metadata.prompt, call.service)
         try:
-            async with asyncio.timeout(max(0.0, give_up_at - attempts.clock())):
-                reservation = await queue.wait(
-                    call.priority,
-                    call.workspace_name,
-                    call.workspace.rate if call.workspace else 0.0,
-                    tokens,
-                    self.reserve_by(call),
-                    lambda: self._reserve_any(call, tokens, excluded),
-                )
-                return Ok(reservation)
+            return Ok(await self._wait_for_memory(call, excluded, give_up_at))
+        except _AllPaused as paused:
+            return Err(refuse("overloaded", retry_after=paused.seconds))
         except TimeoutError:
-            listed = attempts.replica.registry.accepting(
-                call.service.name, Stage.DECODE
-            )
-            code = "overloaded" if listed else "no_endpoint"
-            logger.info(
-                "no memory reserved in time",
-                extra={
-                    "request": call.id,
-                    "tokens": tokens,
-                    "endpoints": len(listed),
-                    "waiting": len(queue),
-                    "late": attempts.clock() > self.reserve_by(call),
-                    "waited": round(attempts.clock() - call.arrived_at, 3),
-                    "store_revision": attempts.replica.as_of,
-                    "store_age": round(attempts.replica.age(attempts.clock()), 3),
-                },
+            return Err(self._refuse_after_wait(call))
+
+    async def _wait_for_memory(
+        self, call: ForwardCall, excluded: set[str], give_up_at: float
+    ) -> MemoryReservation:
+        """Wait in the queue for a reservation.
+
+        Raises:
+            TimeoutError: there was none until `give_up_at`.
+            _AllPaused: no endpoint takes requests before `give_up_at`.
+        """
+        tokens = reservation_tokens(call.metadata.prompt, call.service)
+        async with asyncio.timeout(max(0.0, give_up_at - self.attempts.clock())):
+            return await self._queue(call.service.name).wait(
+                call.priority,
+                call.workspace_name,
+                call.workspace.rate if call.workspace else 0.0,
+                tokens,
+                self.reserve_by(call),
+                lambda: self._reserve_any(call, tokens, excluded, give_up_at),
             )
-            return Err(refuse(code, retry_after=RETRY_AFTER_S))
+
+    def _refuse_after_wait(self, call: ForwardCall) -> Refusal:
+        attempts = self.attempts
+        listed = attempts.replica.registry.accepting(call.service.name, Stage.DECODE)
+        now = attempts.clock()
+        logger.info(
+            "no memory reserved in time",
+            extra={
+                "request": call.id,
+                "tokens": reservation_tokens(call.metadata.prompt, call.service),
+                "endpoints": len(listed),
+                "waiting": len(self._queue(call.service.name)),
+                "late": now > self.reserve_by(call),
+                "waited": round(now - call.arrived_at, 3),
+                **attempts.replica.log_fields(now),
+            },
+        )
+        code = "overloaded" if listed else "no_endpoint"
+        return refuse(code, retry_after=RETRY_AFTER_S)
 
     def run_ended(self, call: ForwardCall, reservation: MemoryReservation) -> None:
         """Release the reservation of a run that has ended, whatever its outcome."""
@@ -157,8 +177,7 @@
                 "request": call.id,
                 "service": call.service.name,
                 "back_in": round(available_in, 3),
-                "store_revision": attempts.replica.as_of,
-                "store_age": round(attempts.replica.age(attempts.clock()), 3),
+                **attempts.replica.log_fields(attempts.clock()),
             },
         )
 
@@ -174,12 +193,21 @@
         return call.first_asked_at + call.route.target_s - FIRST_TOKEN_LATENCY_S
 
     async def _reserve_any(
-        self, call: ForwardCall, tokens: int, excluded: set[str]
+        self, call: ForwardCall, tokens: int, excluded: set[str], give_up_at: float
     ) -> MemoryReservation | None:
         attempts = self.attempts
+        now = attempts.clock()
+        paused_for = attempts.paused_for(call, Stage.DECODE)
+        if now + paused_for > give_up_at:
+            raise _AllPaused(paused_for)
         listed = attempts.replica.registry.accepting(call.service.name, Stage.DECODE)
-        ejected = attempts.loads.ejections.active(attempts.clock())
-        usable = [item for item in listed if item.id not in excluded | ejected]
+        ejected = attempts.loads.ejections.active(now)
+        usable = [
+            item
+            for item in listed
+            if item.id not in excluded | ejected
+            and not attempts.loads.is_paused(item.id, now)
+        ]
         for endpoint in self.memory_estimates.by_free_memory(usable, attempts.clock()):
             reservation = await self._reserve_at(call, endpoint, tokens)
             if reservation is not None:
@@ -239,8 +267,7 @@
                 "expected": expected_answer_tokens(call.metadata.prompt),
                 "late": now > self.reserve_by(call),
                 "waited": round(now - call.arrived_at, 3),
-                "store_revision": attempts.replica.as_of,
-                "store_age": round(attempts.replica.age(now), 3),
+                **attempts.replica.log_fields(now),
             },
         )
 
@@ -251,7 +278,7 @@
         seconds = call.service.engine.hold_s
         hold_call = attempts.adapter.hold_call(tokens, seconds)
         attempts.count("holds_asked")
-        response = await attempts.port.control(endpoint, hold_call, CONTROL_TIMEOUT_S)
+        response = await attempts.control(endpoint, hold_call)
         if isinstance(response, Err):
             attempts.loads.ejections.record_failure(endpoint.id, attempts.clock())
             logger.info(
@@ -259,12 +286,11 @@
                 extra={"endpoint": endpoint.id, "reason": response.err_value.reason},
             )
             return None
-        status, body = response.ok_value
-        if status != 200:
+        if response.ok_value.status != 200:
             attempts.count("holds_refused")
             return None
         try:
-            return attempts.adapter.decode_hold(body)
+            return attempts.adapter.decode_hold(response.ok_value.body)
         except ValueError as error:
             logger.warning("invalid reservation response", extra={"reason": str(error)})
             return None
--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -1,19 +1,32 @@
 """Local replica of the platform's store.
 
-The replica is complete up to a revision. It also keeps the time at which it was last
+The replica is complete up to a version. It also keeps the time at which it was last
 known to be complete, on a clock that runs on while the machine is suspended. Reads
 of the store and other members' replicas advance both; nothing moves them back.
+
+The store may come back from an older copy, which begins a new era. The replica keeps
+what it knows until it has all documents of the new era. Then a configuration that is
+older than the one in force is ignored, an endpoint that is known to leave or to have
+left is not used again, and an endpoint that is missing has `RELIST_GRACE_S` to be
+listed again.
 """
 
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ebonyglade.audit import AuditRecord, AuditTrail, Outcome
 from ebonyglade.forward import routing_table as routing_tables
 from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.leaving import LeavingMarks
 from ebonyglade.forward.routing_table import RoutingTable
-from ebonyglade.forward.types import Endpoint, EndpointRegistry, StoreDocument
+from ebonyglade.forward.types import (
+    NO_VERSION,
+    Endpoint,
+    EndpointRegistry,
+    StoreDocument,
+    StoreVersion,
+)
 from ebonyglade.ports import Clock
 
 logger = logging.getLogger(__name__)
@@ -21,7 +34,24 @@
 # Live endpoints are listed again within this time after the end of a store outage;
 # the platform's own limit is two seconds.
 RELIST_GRACE_S = 1.9
+# Endpoints that left are remembered for this long: an older copy of the store may
+# list them again.
+DEPARTED_TTL_S = 120.0
 NEVER = float("-inf")
+MAX_LOGGED_AGE_S = 1e6  # logged for a replica that was never confirmed
+
+
+@dataclass(frozen=True, slots=True)
+class _Departed:
+    """An endpoint that left.
+
+    Attributes:
+        born_ms: Unix milliseconds of its start.
+        at: when it was dropped.
+    """
+
+    born_ms: int
+    at: float
 
 
 @dataclass(slots=True)
@@ -34,7 +64,8 @@
         audit: trail of accepted and rejected changes.
         table: routes in force; None before any configuration is known.
         registry: endpoints in use.
-        as_of: revision up to which the replica is complete.
+        as_of: version up to which the replica is complete.
+        leaving: endpoints that leave although their documents say that they serve.
     """
 
     adapter: Adapter
@@ -42,16 +73,31 @@
     audit: AuditTrail
     table: RoutingTable | None = None
     registry: EndpointRegistry = field(default_factory=EndpointRegistry)
-    as_of: int = 0
+    as_of: StoreVersion = NO_VERSION
+    leaving: LeavingMarks = field(default_factory=LeavingMarks)
     _documents: dict[str, StoreDocument] = field(default_factory=dict)
     _confirmed_at: float = NEVER
     _outage_ended_at: float = NEVER
     _drop_at: dict[str, float] = field(default_factory=dict)
+    _departed: dict[str, _Departed] = field(default_factory=dict)
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 if none is known."""
+        return self.table.version if self.table is not None else 0
 
     def age(self, now: float) -> float:
         """Return the seconds since the replica was last known to be complete."""
         return now - self._confirmed_at
 
+    def log_fields(self, now: float) -> dict[str, float]:
+        """Return the version and age of the replica as fields of a log line."""
+        return {
+            "store_era": self.as_of.era,
+            "store_revision": self.as_of.revision,
+            "store_age": round(min(self.age(now), MAX_LOGGED_AGE_S), 3),
+        }
+
     def confirm_current_at(self, at: float) -> None:
         """Record a time at which the replica was complete."""
         self._confirmed_at = max(self._confirmed_at, at)
@@ -64,87 +110,219 @@
         """Return the documents of the replica."""
         return self._documents.values()
 
-    def apply(self, documents: Iterable[StoreDocument], as_of: int) -> None:
-        """Apply all changes from the replica's revision up to `as_of`."""
-        for item in [item for item in documents if self._is_newer(item)]:
-            self._apply_one(item)
-        self.as_of = max(self.as_of, as_of)
+    def apply(self, documents: Iterable[StoreDocument], as_of: StoreVersion) -> bool:
+        """Apply all changes from the replica's version up to `as_of`.
+
+        Returns:
+            Whether `as_of` is of the replica's own era. Changes of another era are
+            not applied: those of an older one are outdated, and a newer one begins
+            with all documents, see `replace`.
+        """
+        if self._documents and as_of.era != self.as_of.era:
+            return False
+        self._apply_all(documents, as_of)
+        return True
 
-    def replace(self, documents: Iterable[StoreDocument], as_of: int) -> None:
-        """Replace the replica by all documents that exist at a revision.
+    def replace(self, documents: Iterable[StoreDocument], as_of: StoreVersion) -> bool:
+        """Replace the replica by all documents that exist at a version.
 
-        Documents that changed after that revision are kept.
+        Documents that changed after that version are kept.
+
+        Returns:
+            Whether `as_of` is not of an older era, which changes nothing.
         """
+        if as_of.era < self.as_of.era:
+            return False
         found = {item.path: item for item in documents}
         gone = [
             StoreDocument(path, None, as_of)
             for path, known in self._documents.items()
-            if path not in found and known.revision <= as_of
+            if path not in found and known.version <= as_of
         ]
-        self.apply([*found.values(), *gone], as_of)
+        if as_of.era > self.as_of.era and self._documents:
+            self._begin_era(found, as_of)
+        self._apply_all([*found.values(), *gone], as_of)
+        return True
+
+    def adopt_configuration(self, item: StoreDocument) -> None:
+        """Put another member's configuration in force if its version is higher.
 
-    def drop_missing(self, now: float) -> None:
-        """Drop the endpoints that were not listed again after an outage."""
-        expired = [name for name, until in self._drop_at.items() if until <= now]
-        for name in expired:
+        The store may have lost it and list an older one under the same revision or a
+        later one. A document that is newer is applied with the others.
+        """
+        known = self._documents.get(item.path)
+        if known is not None and item.version <= known.version:
+            self._apply_configuration(item)
+
+    def mark_leaving(
+        self, name: str, outdated: StoreVersion | None = None, observed: bool = True
+    ) -> None:
+        """Record that an endpoint leaves although its document says that it serves.
+
+        Args:
+            name: id of the endpoint.
+            outdated: version of its document that is out of date; None for the
+                version that the replica has.
+            observed: whether the endpoint told this process so itself.
+        """
+        endpoint = self.registry.endpoints.get(name)
+        document = self._documents.get(self.adapter.ENDPOINTS + name)
+        if endpoint is None or endpoint.leaving or document is None:
+            return
+        now = self.clock()
+        outdated = document.version if outdated is None else outdated
+        if not self.leaving.add(endpoint, outdated, now, observed):
+            return
+        if self.leaving.applies(endpoint, document.version, now):
+            self.registry.endpoints[name] = replace(endpoint, leaving=True)
+            self._record(document, Outcome.ACCEPTED, "leaving, as the endpoint states")
+
+    def refresh_endpoints(self, now: float) -> None:
+        """Drop endpoints that were not listed again, and marks that no longer hold."""
+        for name in [name for name, until in self._drop_at.items() if until <= now]:
             del self._drop_at[name]
             self._drop(name, "not listed again after a store outage")
+        for name in self.leaving.names():
+            self._refresh_mark(name)
+        for name, departed in list(self._departed.items()):
+            if now - departed.at > DEPARTED_TTL_S:
+                del self._departed[name]
+
+    def _apply_all(
+        self, documents: Iterable[StoreDocument], as_of: StoreVersion
+    ) -> None:
+        for item in [item for item in documents if self._is_newer(item)]:
+            self._apply_one(item)
+        self.as_of = max(self.as_of, as_of)
+
+    def _begin_era(self, found: dict[str, StoreDocument], as_of: StoreVersion) -> None:
+        """Prepare for the documents of a store that came back from an older copy."""
+        now = self.clock()
+        logger.warning(
+            "store came back from an older copy",
+            extra={
+                "era_before": self.as_of.era,
+                "revision_before": self.as_of.revision,
+                "era": as_of.era,
+                "revision": as_of.revision,
+            },
+        )
+        self.record_outage_end(now)
+        for path, item in found.items():
+            if path.startswith(self.adapter.ENDPOINTS):
+                self._mark_if_leaving(path, item, now)
+
+    def _mark_if_leaving(self, path: str, item: StoreDocument, now: float) -> None:
+        """Mark an endpoint that left, or began to leave, in the lost part."""
+        name = path.removeprefix(self.adapter.ENDPOINTS)
+        try:
+            endpoint = self.adapter.decode_endpoint(name, item.value)
+        except ValueError:
+            return  # `_apply_endpoint` rejects the document and records why.
+        known = self.registry.endpoints.get(name)
+        departed = self._departed.get(name)
+        left = departed is not None and departed.born_ms == endpoint.born_ms
+        leaves = (
+            known is not None and known.leaving and known.born_ms == endpoint.born_ms
+        )
+        if left or leaves:
+            self.leaving.forget(name)
+            self.leaving.add(endpoint, item.version, now, observed=False)
+
+    def _refresh_mark(self, name: str) -> None:
+        document = self._documents.get(self.adapter.ENDPOINTS + name)
+        if document is None:
+            self.leaving.forget(name)
+            return
+        endpoint = self._decode_endpoint(name, document)
+        if endpoint is None:
+            self.leaving.forget(name)
+            return
+        if not self.leaving.applies(endpoint, document.version, self.clock()):
+            self.leaving.end(name)
+            self._list_endpoint(endpoint, document)
 
     def _is_newer(self, item: StoreDocument) -> bool:
         known = self._documents.get(item.path)
         if known is None:
             return item.value is not None
         # A document that is missing in a listing is removed as of the listing's
-        # revision, which can equal the document's own.
-        return item.revision > known.revision or (
-            item.value is None and item.revision >= known.revision
+        # version, which can equal the document's own.
+        return item.version > known.version or (
+            item.value is None and item.version >= known.version
         )
 
     def _apply_one(self, item: StoreDocument) -> None:
+        if item.path == self.adapter.CONFIGURATION:
+            self._apply_configuration(item)
+            return
         if item.value is None:
             del self._documents[item.path]
         else:
             self._documents[item.path] = item
-        if item.path == self.adapter.CONFIGURATION:
-            self._apply_configuration(item)
-        elif item.path.startswith(self.adapter.ENDPOINTS):
+        if item.path.startswith(self.adapter.ENDPOINTS):
             self._apply_endpoint(item.path.removeprefix(self.adapter.ENDPOINTS), item)
 
     def _apply_configuration(self, item: StoreDocument) -> None:
+        """Put a configuration in force unless a newer version is.
+
+        Its document is then kept under the newer store version, so that members
+        that start later get the configuration in force and not the older one.
+        """
+        known = self._documents.get(item.path)
         if item.value is None:
-            self.audit.add(item.path, item.revision, Outcome.IGNORED, reason="removed")
+            self._keep_configuration(item, known, "removed")
             return
         try:
             published = self.adapter.decode_published(item.value)
         except ValueError as error:
+            self._documents[item.path] = item
             self._reject(item, error)
             return
-        if self.table is not None and published.version < self.table.version:
+        if published.version < self.configuration_version:
             reason = f"version {published.version} is older than the one in force"
-            self.audit.add(item.path, item.revision, Outcome.IGNORED, reason=reason)
+            self._keep_configuration(item, known, reason)
             return
+        version = item.version if known is None else max(known.version, item.version)
+        self._documents[item.path] = replace(item, version=version)
         self.table = routing_tables.build_routing_table(published)
-        reason = f"version {published.version}"
-        self.audit.add(item.path, item.revision, Outcome.ACCEPTED, reason=reason)
+        self._record(item, Outcome.ACCEPTED, f"version {published.version}")
+
+    def _keep_configuration(
+        self, item: StoreDocument, known: StoreDocument | None, reason: str
+    ) -> None:
+        if known is not None:
+            version = max(known.version, item.version)
+            self._documents[item.path] = replace(known, version=version)
+        self._record(item, Outcome.IGNORED, reason)
 
     def _apply_endpoint(self, name: str, item: StoreDocument) -> None:
-        known = self.registry.endpoints.get(name)
         if item.value is None:
-            self._unlist_endpoint(name, known, item.revision)
+            self._unlist_endpoint(name, item)
             return
-        try:
-            endpoint = self.adapter.decode_endpoint(name, item.value)
-        except ValueError as error:
-            self._reject(item, error)
+        endpoint = self._decode_endpoint(name, item)
+        if endpoint is None:
             self.registry.endpoints.pop(name, None)
             return
         self._drop_at.pop(name, None)
-        if self._is_superseded(endpoint):
-            return
-        self.registry.endpoints[name] = endpoint
+        if not self._is_superseded(endpoint):
+            self._list_endpoint(endpoint, item)
+
+    def _decode_endpoint(self, name: str, item: StoreDocument) -> Endpoint | None:
+        try:
+            return self.adapter.decode_endpoint(name, item.value)
+        except ValueError as error:
+            self._reject(item, error)
+            return None
+
+    def _list_endpoint(self, endpoint: Endpoint, item: StoreDocument) -> None:
+        known = self.registry.endpoints.get(endpoint.id)
+        if self.leaving.applies(endpoint, item.version, self.clock()):
+            endpoint = replace(endpoint, leaving=True)
+        self.registry.endpoints[endpoint.id] = endpoint
         if known is None or known.leaving != endpoint.leaving:
             state = "leaving" if endpoint.leaving else "listed"
-            self.audit.add(item.path, item.revision, Outcome.ACCEPTED, reason=state)
+            self._record(item, Outcome.ACCEPTED, state)
 
     def _is_superseded(self, endpoint: Endpoint) -> bool:
         """Drop an older endpoint at the same address; True if this one is older.
@@ -160,25 +338,32 @@
             self._drop(name, "replaced by a newer endpoint at its address")
         return False
 
-    def _unlist_endpoint(
-        self, name: str, known: Endpoint | None, revision: int
-    ) -> None:
-        now = self.clock()
+    def _unlist_endpoint(self, name: str, item: StoreDocument) -> None:
+        known = self.registry.endpoints.get(name)
         until = self._outage_ended_at + RELIST_GRACE_S
-        if known is not None and not known.leaving and now < until:
+        if known is not None and not known.leaving and self.clock() < until:
             # Its document may have expired only because of the store's outage.
             self._drop_at[name] = until
             return
-        self._drop(name, "removed", revision)
+        self._drop(name, "removed", item.version)
 
-    def _drop(self, name: str, reason: str, revision: int = 0) -> None:
-        if self.registry.endpoints.pop(name, None) is not None:
-            path = self.adapter.ENDPOINTS + name
-            self.audit.add(path, revision, Outcome.REMOVED, reason=reason)
+    def _drop(self, name: str, reason: str, version: StoreVersion = NO_VERSION) -> None:
+        dropped = self.registry.endpoints.pop(name, None)
+        self.leaving.forget(name)
+        if dropped is not None:
+            self._departed[name] = _Departed(dropped.born_ms, self.clock())
+            item = StoreDocument(self.adapter.ENDPOINTS + name, None, version)
+            self._record(item, Outcome.REMOVED, reason)
 
     def _reject(self, item: StoreDocument, error: ValueError) -> None:
         reason = str(error).replace("\n", " ")[:200]
-        self.audit.add(item.path, item.revision, Outcome.REJECTED, reason=reason)
+        self._record(item, Outcome.REJECTED, reason)
+
+    def _record(self, item: StoreDocument, outcome: Outcome, reason: str) -> None:
+        version = item.version
+        self.audit.add(
+            item.path, version.revision, outcome, reason=reason, era=version.era
+        )
 
 
 def log_store_change(record: AuditRecord) -> None:
@@ -187,6 +372,7 @@
         "store change",
         extra={
             "path": record.path,
+            "era": record.era,
             "revision": record.revision,
             "outcome": record.outcome.value,
             "reason": record.reason,
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -4,6 +4,7 @@
 otherwise.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -242,6 +243,9 @@
         signed: whether the endpoint signed the response.
         load: the endpoint's load, if it reports it.
         encoded: whether the body has a content encoding, which is never requested.
+        leaving: whether the endpoint states that it is about to leave.
+        retry_after_s: seconds for which an endpoint that rejects a request wants no
+            other one from this process; None if not stated.
     """
 
     request_id: str
@@ -249,6 +253,8 @@
     signed: bool
     load: Load | None = None
     encoded: bool = False
+    leaving: bool = False
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,6 +292,21 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class ControlResponse:
+    """Response to a `ControlCall`.
+
+    Attributes:
+        status: HTTP status.
+        headers: headers by name; names are looked up in any case.
+        body: complete body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Prefilled:
     """A prefilled prompt that is kept at its endpoint until it is decoded."""
@@ -336,6 +357,23 @@
     born_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StoreVersion:
+    """Version of the store or of one document, ordered by era first.
+
+    Attributes:
+        era: how often the store came back from an older copy; 0 if it does not say.
+        revision: revision within the era. A new era starts at an older revision and
+            assigns the later ones again.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
+NO_VERSION = StoreVersion()  # before anything was read
+
+
 @dataclass(frozen=True, slots=True)
 class StoreDocument:
     """One document of the store.
@@ -343,20 +381,20 @@
     Attributes:
         path: key of the document.
         value: content; None for a removal.
-        revision: revision of its last change.
+        version: version of its last change.
     """
 
     path: str
     value: bytes | None
-    revision: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
 class StorePage:
-    """A page of the store's documents, and the revision that it is of."""
+    """A page of the store's documents, and the version that it is of."""
 
     documents: tuple[StoreDocument, ...]
-    as_of: int
+    as_of: StoreVersion
     truncated: bool = False
 
 
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -29,10 +29,29 @@
         as_of: store revision up to which the replica is complete.
         age_s: seconds since the replica was last known to be up to date; negative if
             it never was.
+        era: era of the store that the revision belongs to.
+        configuration: version of the configuration in force; the store may list an
+            older one after it came back from an older copy.
     """
 
     as_of: int = 0
     age_s: float = -1.0
+    era: int = 0
+    configuration: int = 0
+
+
+class LeavingRecord(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that told the sender that it leaves.
+
+    Attributes:
+        endpoint: id of the endpoint.
+        era: era of its document that still says that it serves.
+        revision: revision of that document.
+    """
+
+    endpoint: str
+    era: int
+    revision: int
 
 
 class EngineState(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +89,7 @@
         engine: state of the endpoint beside the sender, if it has one.
         crashes: number of endpoint crashes that the sender itself observed, by
             fingerprint of the request that was running.
+        leaving: endpoints that told the sender that they leave.
     """
 
     sent_at: float
@@ -81,6 +101,7 @@
     spent: dict[str, float] = {}
     engine: EngineState | None = None
     crashes: dict[str, int] = {}
+    leaving: list[LeavingRecord] = []
 
 
 class ReplicaDocument(msgspec.Struct, frozen=True, array_like=True):
@@ -92,10 +113,19 @@
 
 
 class ReplicaRequest(Message, tag="CopyAsk"):
-    """Requests the changes of the store after a revision."""
+    """Requests the changes of the store after a revision.
+
+    Attributes:
+        after: revision up to which the sender's replica is complete.
+        sent_at: time by the sender's clock; the response repeats it.
+        era: era of the store that the revision belongs to.
+        configuration: version of the sender's configuration in force.
+    """
 
     after: int
     sent_at: float
+    era: int = 0
+    configuration: int = 0
 
 
 class ReplicaResponse(Message, tag="CopyAnswer"):
@@ -106,7 +136,9 @@
         as_of: revision up to which the replica is complete.
         age_s: seconds since the replica was last known to be up to date.
         paths: paths of all documents that exist.
-        changed: documents that changed after the requested revision.
+        changed: documents that changed after the requested revision, and the
+            configuration if the requested one is older.
+        era: era of the store that the revisions belong to.
     """
 
     sent_at: float
@@ -114,6 +146,7 @@
     age_s: float
     paths: list[str] = []
     changed: list[ReplicaDocument] = []
+    era: int = 0
 
 
 class ShutdownNotice(Message, tag="Farewell"):
--- a/tests/forward/test_adapter.py
+++ b/tests/forward/test_adapter.py
@@ -8,7 +8,13 @@
 import pytest
 
 import ebonyglade_platform as adapter
-from ebonyglade.forward.types import EndpointInstructions, RetryMode, Stage
+from ebonyglade.forward.types import (
+    ControlResponse,
+    EndpointInstructions,
+    RetryMode,
+    Stage,
+    StoreVersion,
+)
 from ebonyglade_platform import configuration, endpoints, names, store
 from helpers.users_platform import config, route
 
@@ -141,16 +147,50 @@
     assert adapter.read_answer(status, headers).ran is ran
 
 
+def store_response(body, **headers):
+    return ControlResponse(200, headers, json.dumps(body).encode())
+
+
 def test_a_value_with_invalid_base64_is_an_empty_document():
     body = {"items": [{"Key": "k", "Value": "%%", "Revision": 3}], "AsOf": 4}
-    page = adapter.decode_page(json.dumps(body).encode())
+    page = adapter.decode_page(store_response(body))
     assert page.documents[0].value == b""
-    assert page.as_of == 4
+    assert page.as_of == StoreVersion(0, 4)
+
+
+def test_a_page_and_its_documents_are_of_the_era_that_the_response_states():
+    body = {"items": [{"Key": "k", "Value": "", "Revision": 3}], "AsOf": 4}
+    page = adapter.decode_page(store_response(body, **{names.STORE_ERA: "2"}))
+    assert page.as_of == StoreVersion(2, 4)
+    assert page.documents[0].version == StoreVersion(2, 3)
+    with pytest.raises(ValueError):
+        adapter.decode_page(store_response(body, **{names.STORE_ERA: "two"}))
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "seconds"),
+    [
+        (503, "2.5", 2.5),
+        (503, "soon", None),
+        (503, "-1", None),
+        (503, "nan", None),
+        (429, "2", None),
+    ],
+)
+def test_only_a_503_pauses_an_endpoint(status, value, seconds):
+    answer = adapter.read_answer(status, {names.RETRY_AFTER: value})
+    assert answer.retry_after_s == seconds
+
+
+def test_a_leaving_endpoint_is_recognized_in_any_answer():
+    assert adapter.read_answer(200, {names.SERVER_LEAVING: "1"}).leaving
+    assert not adapter.read_answer(200, {names.SERVER_LEAVING: "0"}).leaving
+    assert not adapter.read_answer(200, {}).leaving
 
 
 def test_a_removal_has_no_value():
     body = {"events": [{"Key": "k", "Revision": 3, "Removed": True}], "AsOf": 4}
-    assert adapter.decode_watch(json.dumps(body).encode()).documents[0].value is None
+    assert adapter.decode_watch(store_response(body)).documents[0].value is None
 
 
 def _wire_names():
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -11,11 +11,12 @@
     IncompleteResponse,
     StreamedResponse,
 )
+from ebonyglade.forward.endpoint_loads import EndpointLoads
 from ebonyglade.forward.generation import GenerationDispatcher
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.reserver import MAX_MEMORY_WAIT_S
 from ebonyglade.forward.stage_planning import TO_DECODE_DELAY_S
-from ebonyglade.forward.types import ResponseMetadata, RetryMode, Stage
+from ebonyglade.forward.types import ControlResponse, ResponseMetadata, RetryMode, Stage
 from ebonyglade.verdict import Verdict
 from ebonyglade_lab.virtual.loop import run
 from helpers.forwarding import (
@@ -29,6 +30,14 @@
 )
 
 NOT_RUN = AttemptFailure(FailureKind.REJECTED, "status 503")
+
+
+def paused(seconds):
+    """Return a rejection by an endpoint that wants no request for some time."""
+    metadata = ResponseMetadata("id-1", False, True, retry_after_s=seconds)
+    return AttemptFailure(FailureKind.REJECTED, "status 503", metadata)
+
+
 LOST = AttemptFailure(FailureKind.LOST, "reset")
 UNREACHED = AttemptFailure(FailureKind.NOT_SENT, "refused")
 
@@ -62,8 +71,10 @@
 
     async def control(self, endpoint, call, timeout_s):
         self.controls.append((endpoint.id, call.method, call.target))
-        found = self.control_responses.get((endpoint.id, call.target), (200, b"hold-1"))
-        return Ok(found)
+        status, body, *headers = self.control_responses.get(
+            (endpoint.id, call.target), (200, b"hold-1")
+        )
+        return Ok(ControlResponse(status, headers[0] if headers else {}, body))
 
     @property
     def endpoint_ids(self):
@@ -121,6 +132,62 @@
     assert isinstance(reply, Err)
 
 
+def test_if_all_endpoints_are_paused_the_refusal_says_when_the_first_one_returns():
+    """Three workers turn a request away and say for how long they want none."""
+
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        port = Port([paused(7.0), paused(3.0), paused(5.0)])
+        names = ("a", "b", "c")
+        attempts = attempt_sender(port, clock, *map(endpoint, names))
+        dispatcher = PlainDispatcher(attempts)
+        first = await dispatcher.run(forward_call(clock, repeat=RetryMode.ONCE))
+        second = await dispatcher.run(forward_call(clock, repeat=RetryMode.ONCE))
+        at_refusal = clock()
+        await asyncio.sleep(3.0)
+        port.responses.append(response(b"x"))
+        third = await dispatcher.run(forward_call(clock, repeat=RetryMode.ONCE))
+        return first, second, at_refusal, third, port
+
+    first, second, at_refusal, third, port = run(scenario())
+    for reply in (first, second):
+        assert reply.err_value.code == "overloaded"
+        assert reply.err_value.verdict is Verdict.NOT_RUN
+        assert reply.err_value.retry_after == 3.0
+    assert at_refusal == 0
+    assert isinstance(third, Ok)
+    assert len(port.sent) == 4
+    assert port.endpoint_ids[3] == port.endpoint_ids[1]
+
+
+def test_a_later_and_shorter_pause_does_not_end_a_longer_one():
+    loads = EndpointLoads()
+    loads.pause("a", 9.0)
+    loads.pause("a", 4.0)
+    loads.pause("b", 6.0)
+    assert loads.is_paused("a", 8.9)
+    assert not loads.is_paused("a", 9.0)
+    assert loads.paused_for(["a", "b"], 5.0) == 1.0
+    assert loads.paused_for(["a", "b", "c"], 5.0) == 0.0
+    assert loads.paused_for([], 5.0) == 0.0
+
+
+def test_an_endpoint_that_says_that_it_leaves_gets_no_new_request():
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        leaving = ResponseMetadata("id-1", True, True, leaving=True)
+        answer = response(b"x").ok_value
+        answer.metadata = leaving
+        port = Port([Ok(answer), response(b"y"), response(b"z")])
+        attempts = attempt_sender(port, clock, endpoint("a"), endpoint("b"))
+        for _ in range(3):
+            await PlainDispatcher(attempts).run(forward_call(clock))
+        return port.endpoint_ids
+
+    first, second, third = run(scenario())
+    assert first not in (second, third)
+
+
 def test_an_unrequested_content_encoding_is_not_passed_on():
     reply, _, _ = plain([response(b"gz", encoded=True)], RetryMode.ONCE)
     assert reply.err_value.verdict is Verdict.MAY_HAVE_RUN
@@ -198,6 +265,30 @@
     assert not port.sent
 
 
+def test_a_request_is_refused_at_once_if_all_decode_endpoints_are_paused_for_long():
+    full = {
+        ("d", "/hold"): (503, b"", {"retry-after": "9"}),
+        ("e", "/hold"): (503, b"", {"retry-after": "8"}),
+    }
+    reply, port, _, now = generate([], full)
+    assert reply.err_value.code == "overloaded"
+    assert 7.5 <= reply.err_value.retry_after <= 8
+    assert now <= 0.5
+    assert len(port.controls) == 2
+
+
+def test_a_request_waits_for_an_endpoint_that_is_paused_briefly():
+    full = {
+        ("d", "/hold"): (503, b"", {"retry-after": "0.5"}),
+        ("e", "/hold"): (503, b"", {"retry-after": "60"}),
+    }
+    _, port, _, now = generate([], full)
+    asked = [name for name, _, _ in port.controls]
+    assert asked.count("e") == 1
+    assert 2 <= asked.count("d") <= 1 + MAX_MEMORY_WAIT_S / 0.5
+    assert now >= MAX_MEMORY_WAIT_S
+
+
 def test_without_a_decode_endpoint_the_refusal_says_when_to_retry():
     """All decode endpoints have left; the prefill endpoint has to change its stage."""
     left = [endpoint("p", "model", stage=Stage.PREFILL)]
--- a/tests/forward/test_endpoint_client.py
+++ b/tests/forward/test_endpoint_client.py
@@ -164,5 +164,5 @@
         writer.write(http_response("late", b"other") + head + body)
 
     async with endpoint(serve) as (address, client, _):
-        status, body = await client.call(address, ControlCall("GET", "/r"), 1.0)
-        assert (status, body) == (200, b"mine")
+        response = await client.call(address, ControlCall("GET", "/r"), 1.0)
+        assert (response.status, response.body) == (200, b"mine")
--- a/tests/forward/test_fleet.py
+++ b/tests/forward/test_fleet.py
@@ -1,67 +1,14 @@
 import asyncio
-import random
-
-from ebonyglade.audit import AuditTrail
-from ebonyglade.forward.members import FORGET_AFTER_S, LIVENESS_TIMEOUT_S, FleetMembers
-from ebonyglade.forward.replica_sync import ReplicaSync
-from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.wire.fleet import FleetHeartbeat
-from ebonyglade_lab.virtual.adapter import plain_adapter
-from ebonyglade_lab.virtual.loop import run
-from ebonyglade_lab.virtual.network import Network, open_frame
-from ebonyglade_lab.virtual.process import Process
-from helpers.forwarding import configuration, endpoint, listed
-from helpers.members import member_context
-
-
-class Node:
-    """One member of a fleet on the fake network."""
-
-    def __init__(self, network, name, seeds, incarnation="1"):
-        self.process = Process(name, incarnation)
-        clock = self.process.clock
-        self.context = member_context(self.process, network)
-        self.replica = StoreReplica(plain_adapter, clock, AuditTrail(clock))
-        self.replica_sync = ReplicaSync(self.context, self.replica)
-        self.members = FleetMembers(self.context, seeds, self._compose_heartbeat)
-        self.members.heartbeat_listeners.append(self.replica_sync.on_heartbeat)
-        network.attach(name, self._take)
-        self.replica_sync.start()
-        self.members.start()
-        self.process.spawn(self._run())
-
-    def _compose_heartbeat(self):
-        now = self.context.clock()
-        return FleetHeartbeat(
-            now,
-            entry=True,
-            members=self.members.recent_members(now),
-            store=self.replica_sync.store_state(),
-        )
-
-    def _take(self, frame):
-        if not self.process.killed and not self.process.paused:
-            self.context.deliver(*open_frame(frame))
-
-    async def _run(self):
-        while True:
-            self.context.timers.run_due(self.context.clock())
-            await asyncio.sleep(0.05)
 
-    def names(self):
-        live = self.members.live(self.context.clock())
-        return {member.address for member in live}
-
-
-def fleet(count, seeds=("n0",)):
-    network = Network(random.Random(1))
-    nodes = {f"n{n}": Node(network, f"n{n}", seeds) for n in range(count)}
-    return network, nodes
+from ebonyglade.forward.members import FORGET_AFTER_S, LIVENESS_TIMEOUT_S
+from ebonyglade_lab.virtual.loop import run
+from helpers.forwarding import at, configuration, endpoint, listed
+from helpers.members import member_fleet
 
 
 def test_all_members_discover_each_other_from_one_seed():
     async def scenario():
-        _, nodes = fleet(8)
+        _, nodes = member_fleet(8)
         await asyncio.sleep(1.5)
         return {name: node.names() for name, node in nodes.items()}
 
@@ -72,7 +19,7 @@
 
 def test_dead_and_stale_seeds_are_tolerated_while_one_is_reachable():
     async def scenario():
-        _, nodes = fleet(4, seeds=("gone-1", "gone-2", "n3"))
+        _, nodes = member_fleet(4, seeds=("gone-1", "gone-2", "n3"))
         await asyncio.sleep(1.5)
         return [node.names() for node in nodes.values()]
 
@@ -81,7 +28,7 @@
 
 def test_a_silent_member_is_not_live_but_counts_until_forgotten():
     async def scenario():
-        _, nodes = fleet(3)
+        _, nodes = member_fleet(3)
         await asyncio.sleep(1)
         nodes["n2"].process.kill()
         await asyncio.sleep(LIVENESS_TIMEOUT_S + 0.5)
@@ -96,7 +43,7 @@
 
 def test_a_farewell_removes_a_member_at_once():
     async def scenario():
-        _, nodes = fleet(3)
+        _, nodes = member_fleet(3)
         await asyncio.sleep(1)
         nodes["n2"].members.announce_shutdown()
         nodes["n2"].process.kill()
@@ -108,7 +55,7 @@
 
 def test_a_silent_connection_is_reopened():
     async def scenario():
-        network, nodes = fleet(2)
+        network, nodes = member_fleet(2)
         await asyncio.sleep(1)
         network.faults.dead_connections |= {("n0", "n1"), ("n1", "n0")}
         await asyncio.sleep(LIVENESS_TIMEOUT_S + 0.2)
@@ -123,10 +70,10 @@
 
 def test_members_pass_on_store_changes_that_one_of_them_read():
     async def scenario():
-        _, nodes = fleet(4)
+        _, nodes = member_fleet(4)
         await asyncio.sleep(1)
         reader = nodes["n3"].replica
-        reader.apply([configuration(3, 10), listed(endpoint("a"), 11)], 12)
+        reader.apply([configuration(3, 10), listed(endpoint("a"), 11)], at(12))
         reader.confirm_current_at(nodes["n3"].context.clock())
         await asyncio.sleep(1.5)
         return nodes
@@ -139,10 +86,10 @@
 
 def test_a_replica_is_never_considered_newer_than_its_read():
     async def scenario():
-        _, nodes = fleet(3)
+        _, nodes = member_fleet(3)
         loop = asyncio.get_running_loop()
         await asyncio.sleep(1)
-        nodes["n0"].replica.apply([configuration(3, 10)], 10)
+        nodes["n0"].replica.apply([configuration(3, 10)], at(10))
         nodes["n0"].replica.confirm_current_at(loop.time())
         read_at = loop.time()
         ages = []
@@ -160,14 +107,16 @@
 
 def test_a_removal_reaches_a_member_after_a_partition():
     async def scenario():
-        network, nodes = fleet(2)
+        network, nodes = member_fleet(2)
         await asyncio.sleep(1)
         first = nodes["n0"]
-        first.replica.apply([listed(endpoint("a"), 3), listed(endpoint("b"), 4)], 4)
+        first.replica.apply([listed(endpoint("a"), 3), listed(endpoint("b"), 4)], at(4))
         first.replica.confirm_current_at(first.context.clock())
         await asyncio.sleep(1)
         network.faults.partitioned.add(frozenset(("n0", "n1")))
-        first.replica.apply([type(listed(endpoint("a"), 9))("endpoints/a", None, 9)], 9)
+        first.replica.apply(
+            [type(listed(endpoint("a"), 9))("endpoints/a", None, at(9))], at(9)
+        )
         first.replica.confirm_current_at(first.context.clock())
         await asyncio.sleep(3)
         network.faults.partitioned.clear()
@@ -176,4 +125,4 @@
 
     replica = run(scenario())
     assert set(replica.registry.endpoints) == {"b"}
-    assert replica.as_of == 9
+    assert replica.as_of == at(9)
--- a/tests/forward/test_forward_agent.py
+++ b/tests/forward/test_forward_agent.py
@@ -11,7 +11,7 @@
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network, open_frame
 from ebonyglade_lab.virtual.process import Process
-from helpers.forwarding import configuration, decode, listed
+from helpers.forwarding import at, configuration, decode, listed
 from helpers.members import member_context
 
 POLL_S = 0.2
@@ -33,7 +33,7 @@
 
     def list(self, names, revision):
         documents = [listed(decode(n, address=address(n)), revision) for n in names]
-        self.core.replica.apply([configuration(1, 2), *documents], revision)
+        self.core.replica.apply([configuration(1, 2), *documents], at(revision))
 
     async def _run(self):
         while True:
--- a/tests/forward/test_forwarding_path.py
+++ b/tests/forward/test_forwarding_path.py
@@ -240,6 +240,65 @@
         )
 
 
+async def test_a_store_that_comes_back_from_an_older_copy_is_followed():
+    async with forwarding_setup() as setup:
+        replica = setup.entry.entry.replica
+        copy = setup.store.copy()
+        await setup.store.put("op/config", config(2, ROUTES, keys=("key-2",)))
+        await setup.store.remove("servers/plain-2")
+        await setup.until(lambda: replica.table.version == 2)
+        await setup.store.restore(copy)
+        await setup.until(lambda: replica.as_of.era == 2)
+        # The withdrawn key stays withdrawn, and the endpoint that left is not used.
+        assert (await setup.ask("/read/x"))[0] == 401
+        assert len(replica.registry.accepting("plain")) == 1
+        await setup.store.put("op/config", config(3, ROUTES, keys=("key-1",)))
+        await setup.until(lambda: replica.table.version == 3)
+        assert (await setup.ask("/read/x"))[0] == 200
+
+
+async def test_a_read_during_which_the_store_comes_back_is_begun_again():
+    async with forwarding_setup() as setup:
+        replica = setup.entry.entry.replica
+        copy = setup.store.copy()
+        for version in range(2, 6):
+            await setup.store.put("op/config", config(version, ROUTES))
+        await setup.until(lambda: replica.table.version == 5)
+        setup.store.between_pages = lambda: setup.store.restore(copy)
+        await setup.store.restore(copy)
+        await setup.until(lambda: replica.as_of.era == 3)
+        assert replica.table.version == 5
+        await setup.store.put("op/config", config(6, ROUTES))
+        await setup.until(lambda: replica.table.version == 6)
+
+
+async def test_a_worker_that_says_that_it_leaves_gets_no_new_requests():
+    async with forwarding_setup() as setup:
+        setup.workers["plain-1"].leaving = setup.workers["plain-2"].leaving = True
+        assert (await setup.ask("/read/x"))[0] == 200
+        assert (await setup.ask("/read/x"))[0] == 200
+        status, _, headers = await setup.ask("/read/x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert len(received(setup)) == 2
+
+
+async def test_a_worker_that_asks_for_a_pause_gets_no_requests_during_it():
+    async with forwarding_setup() as setup:
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].failure = "not executed"
+            setup.workers[name].retry_after = 1.5
+        status, _, headers = await setup.ask("/read/x")
+        assert status == 503
+        assert 1.0 <= float(headers["Retry-After"]) <= 1.5
+        assert (await setup.ask("/read/x"))[0] == 503
+        assert len(received(setup)) == 2
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].failure = None
+        await asyncio.sleep(1.5)
+        assert (await setup.ask("/read/x"))[0] == 200
+
+
 async def test_a_planned_stop_finishes_open_requests_and_closes_connections():
     async with forwarding_setup() as setup:
         setup.workers["decode"].events = 60
--- a/tests/forward/test_store_replica.py
+++ b/tests/forward/test_store_replica.py
@@ -1,6 +1,7 @@
 from ebonyglade.forward.store_replica import RELIST_GRACE_S
 from helpers.forwarding import (
     Clock,
+    at,
     configuration,
     endpoint,
     listed,
@@ -11,17 +12,17 @@
 
 def test_an_older_copy_does_not_revert_a_newer_one():
     replica = store_replica(Clock())
-    replica.apply([configuration(7, 40)], 40)
-    replica.apply([configuration(5, 30)], 30)
+    replica.apply([configuration(7, 40)], at(40))
+    replica.apply([configuration(5, 30)], at(30))
     assert replica.table.version == 7
-    assert replica.as_of == 40
+    assert replica.as_of == at(40)
 
 
 def test_an_invalid_configuration_leaves_the_previous_one_in_force():
     replica = store_replica(Clock())
-    replica.apply([configuration(1, 2)], 2)
+    replica.apply([configuration(1, 2)], at(2))
     broken = configuration(2, 3)
-    replica.apply([type(broken)(broken.path, b"{", 3)], 3)
+    replica.apply([type(broken)(broken.path, b"{", at(3))], at(3))
     assert replica.table.version == 1
     assert [record.outcome.value for record in replica.audit] == [
         "accepted",
@@ -32,36 +33,36 @@
 def test_an_invalid_endpoint_document_lists_no_endpoint():
     replica = store_replica(Clock())
     good = listed(endpoint("a"), 2)
-    replica.apply([good, type(good)("endpoints/b", b'{"id": 3}', 3)], 3)
+    replica.apply([good, type(good)("endpoints/b", b'{"id": 3}', at(3))], at(3))
     assert list(replica.registry.endpoints) == ["a"]
 
 
 def test_endpoints_that_expired_in_an_outage_are_kept_for_the_relist_grace():
     clock = Clock()
     replica = store_replica(clock)
-    replica.apply([listed(endpoint("a"), 2), listed(endpoint("b"), 3)], 3)
+    replica.apply([listed(endpoint("a"), 2), listed(endpoint("b"), 3)], at(3))
     replica.record_outage_end(clock.now)
-    replica.apply([removed("a", 4), removed("b", 5)], 5)
+    replica.apply([removed("a", 4), removed("b", 5)], at(5))
     assert set(replica.registry.endpoints) == {"a", "b"}
-    replica.apply([listed(endpoint("a"), 6)], 6)
+    replica.apply([listed(endpoint("a"), 6)], at(6))
     clock.now += RELIST_GRACE_S
-    replica.drop_missing(clock.now)
+    replica.refresh_endpoints(clock.now)
     assert set(replica.registry.endpoints) == {"a"}
 
 
 def test_a_leaving_endpoint_is_not_kept_after_an_outage():
     clock = Clock()
     replica = store_replica(clock)
-    replica.apply([listed(endpoint("a", leaving=True), 2)], 2)
+    replica.apply([listed(endpoint("a", leaving=True), 2)], at(2))
     replica.record_outage_end(clock.now)
-    replica.apply([removed("a", 4)], 4)
+    replica.apply([removed("a", 4)], at(4))
     assert not replica.registry.endpoints
 
 
 def test_without_an_outage_a_removed_endpoint_is_dropped_at_once():
     replica = store_replica(Clock())
-    replica.apply([listed(endpoint("a"), 2)], 2)
-    replica.apply([removed("a", 3)], 3)
+    replica.apply([listed(endpoint("a"), 2)], at(2))
+    replica.apply([removed("a", 3)], at(3))
     assert not replica.registry.endpoints
 
 
@@ -69,19 +70,19 @@
     replica = store_replica(Clock())
     old = endpoint("old", address="10.0.0.9:80", born_ms=10)
     new = endpoint("new", address="10.0.0.9:80", born_ms=20)
-    replica.apply([listed(old, 2)], 2)
-    replica.apply([listed(new, 3)], 3)
+    replica.apply([listed(old, 2)], at(2))
+    replica.apply([listed(new, 3)], at(3))
     assert list(replica.registry.endpoints) == ["new"]
-    replica.apply([listed(old, 4)], 4)
+    replica.apply([listed(old, 4)], at(4))
     assert list(replica.registry.endpoints) == ["new"]
 
 
 def test_replacing_from_pages_does_not_undo_later_changes():
     replica = store_replica(Clock())
-    replica.apply([listed(endpoint("late"), 9)], 9)
-    replica.replace([listed(endpoint("a"), 2)], 5)
+    replica.apply([listed(endpoint("late"), 9)], at(9))
+    replica.replace([listed(endpoint("a"), 2)], at(5))
     assert set(replica.registry.endpoints) == {"late", "a"}
-    replica.replace([], 20)
+    replica.replace([], at(20))
     assert not replica.registry.endpoints
 
 
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -10,7 +10,7 @@
 from ebonyglade_lab.virtual.adapter import plain_adapter
 from ebonyglade_lab.virtual.network import open_frame
 from ebonyglade_lab.virtual.process import Process
-from helpers.forwarding import configuration, prompt, route
+from helpers.forwarding import at, configuration, prompt, route
 from helpers.members import member_context
 
 WORKSPACE = Workspace("w", ("key",), rate=100_000.0, burst=200_000.0)
@@ -30,7 +30,7 @@
         shares = (Share("model", 1.0),)
         routes = [route(RetryMode.STREAM, shares=shares, target_s=1.0, timeout_s=14.0)]
         published = configuration(1, 2, routes=routes, workspaces=(WORKSPACE,))
-        self.core.replica.apply([published], 50)
+        self.core.replica.apply([published], at(50))
         self.core.replica.confirm_current_at(context.clock())
         self.process.spawn(self._run())
 
--- a/tests/helpers/forwarding.py
+++ b/tests/helpers/forwarding.py
@@ -22,6 +22,7 @@
     Share,
     Stage,
     StoreDocument,
+    StoreVersion,
     Workspace,
 )
 from ebonyglade_lab.virtual.adapter import encode_document, plain_adapter as adapter
@@ -64,20 +65,26 @@
     return Endpoint(id=name, service=service, **{**fields, **changes})
 
 
-def configuration(version, revision, **changes):
+def at(revision, era=0):
+    """Return a version of the store."""
+    return StoreVersion(era, revision)
+
+
+def configuration(version, revision, era=0, **changes):
     """Return the store's document of a configuration."""
     value = encode_document(published_configuration(version, **changes))
-    return StoreDocument(adapter.CONFIGURATION, value, revision)
+    return StoreDocument(adapter.CONFIGURATION, value, at(revision, era))
 
 
-def listed(item, revision):
+def listed(item, revision, era=0):
     """Return the store's document of an endpoint."""
-    return StoreDocument(adapter.ENDPOINTS + item.id, encode_document(item), revision)
+    path = adapter.ENDPOINTS + item.id
+    return StoreDocument(path, encode_document(item), at(revision, era))
 
 
-def removed(name, revision):
+def removed(name, revision, era=0):
     """Return the store's document of an endpoint that was removed."""
-    return StoreDocument(adapter.ENDPOINTS + name, None, revision)
+    return StoreDocument(adapter.ENDPOINTS + name, None, at(revision, era))
 
 
 class Clock:
@@ -98,7 +105,7 @@
 def attempt_sender(port, clock, *endpoints):
     """Return a `AttemptSender` whose replica of the store lists the given endpoints."""
     replica = store_replica(clock)
-    replica.apply([listed(item, 2 + n) for n, item in enumerate(endpoints)], 50)
+    replica.apply([listed(item, 2 + n) for n, item in enumerate(endpoints)], at(50))
     replica.confirm_current_at(clock())
     return AttemptSender(
         adapter=adapter,
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -16,7 +16,12 @@
 
 
 class PlatformStore(StandIn):
-    """Stores documents; serves paged range reads and watches."""
+    """Stores documents; serves paged range reads and watches.
+
+    Attributes:
+        era: rises when the store comes back from an older copy.
+        between_pages: called once between two pages of a range read.
+    """
 
     def __init__(self, page=2):
         super().__init__()
@@ -27,6 +32,8 @@
         self._changed = asyncio.Condition()
         self.down = False
         self.reads = 0
+        self.era = 1
+        self.between_pages = None
         self.app.router.add_get("/kv-range", self._range)
         self.app.router.add_get("/kv-watch", self._watch)
 
@@ -55,6 +62,26 @@
         """Drop all events: a watch from an older revision then gets status 410."""
         self._events.clear()
 
+    def copy(self):
+        """Return a copy that `restore` can put back."""
+        return self._revision, dict(self._items), list(self._events)
+
+    async def restore(self, copy):
+        """Lose all changes since a copy was made; waiting watches are cut."""
+        self._revision, self._items, self._events = copy[0], dict(copy[1]), copy[2]
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _respond(self, document):
+        return web.json_response(document, headers=self._headers())
+
+    def _refuse(self, status):
+        return web.Response(status=status, headers=self._headers())
+
+    def _headers(self):
+        return {"Store-Era": str(self.era)}
+
     async def _append_event(self, event):
         self._events = [*self._events, event][-MAX_EVENTS:]
         async with self._changed:
@@ -63,13 +90,16 @@
     async def _range(self, request):
         self.reads += 1
         if self.down:
-            return web.Response(status=503)
+            return self._refuse(503)
         after = request.query.get("after", "")
+        if after and self.between_pages is not None:
+            action, self.between_pages = self.between_pages, None
+            await action()
         prefix = request.query["PathPrefix"]
         keys = sorted(
             key for key in self._items if key > after and key.startswith(prefix)
         )
-        return web.json_response(
+        return self._respond(
             {
                 "items": [self._items[key] for key in keys[: self._page]],
                 "Truncated": len(keys) > self._page,
@@ -80,18 +110,24 @@
     async def _watch(self, request):
         self.reads += 1
         if self.down:
-            return web.Response(status=503)
+            return self._refuse(503)
         after = int(request.query["after"])
         wait_s = int(request.query["WaitMs"]) / 1000
         oldest = self._events[0]["Revision"] if self._events else self._revision + 1
-        if after < self._revision and after + 1 < oldest:
-            return web.Response(status=410)
+        unknown = after > self._revision
+        if unknown or (after < self._revision and after + 1 < oldest):
+            return self._refuse(410)
+        era = self.era
         try:
             async with asyncio.timeout(wait_s), self._changed:
-                await self._changed.wait_for(lambda: self._events_after(after))
+                await self._changed.wait_for(
+                    lambda: self._events_after(after) or self.era != era
+                )
         except TimeoutError:
             pass
-        return web.json_response(
+        if self.era != era:
+            return self._refuse(410)
+        return self._respond(
             {"events": self._events_after(after), "AsOf": self._revision}
         )
 
@@ -108,6 +144,8 @@
         holds: reserved slots that no decode request has used yet.
         orders: bodies of the stage orders.
         failure: "not executed", "reset" or "silent": how requests fail; None if not.
+        retry_after: seconds that a rejection states; None for none.
+        leaving: whether all responses say that the worker leaves.
         events: events in each stream.
         event_interval_s: seconds after each event.
         abort_after_events: events after which the connection is aborted; None if
@@ -124,6 +162,9 @@
         self.holds = set()
         self.orders = []
         self.failure = None
+        self.retry_after = None
+        self.leaving = False
+        self.app.on_response_prepare.append(self._add_state)
         self.events = 3
         self.event_interval_s = 0.0
         self.abort_after_events = None
@@ -152,6 +193,12 @@
             document["Stage"] = self.stage
         return {**document, **changes}
 
+    async def _add_state(self, request, response):
+        if self.leaving:
+            response.headers["Server-Leaving"] = "1"
+        if response.status == 503 and self.retry_after is not None:
+            response.headers["Retry-After"] = str(self.retry_after)
+
     async def _take_hold(self, request):
         if len(self.holds) >= self.slots:
             return web.Response(status=503)
