--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -39,8 +39,9 @@
             self._settings.endpoint.address,
             self._settings.seed_addresses(),
             AuditTrail(context.wall_clock, listener=log_store_change),
+            self._settings.instance.link_mbps,
         )
-        await self.node.join(self.agent.replica)
+        await self.node.join(self.agent.replica, self.agent.members)
         self.agent.start()
         logger.info("started", extra={"seeds": len(self._settings.seeds)})
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -8,6 +8,7 @@
 from ebonyglade.errors import UserError
 from ebonyglade.forward.adapter import load_adapter
 from ebonyglade.forward.members import FleetMembers
+from ebonyglade.forward.store_readers import reader_choice
 from ebonyglade.forward.store_replica import StoreReplica
 from ebonyglade_node import logs
 from ebonyglade_node.clocks import boottime_clock
@@ -57,7 +58,7 @@
         self.client = EndpointClient(CONNECT_TIMEOUT_S, self.adapter.REQUEST_ID)
         self.port = HttpEndpointPort(self.adapter, self.client)
 
-    async def join(self, replica: StoreReplica) -> None:
+    async def join(self, replica: StoreReplica, members: FleetMembers) -> None:
         """Start the link, the timers and the reader of the store."""
         settings = self.settings.store
         reader = StoreReader(
@@ -68,6 +69,7 @@
             replica,
             self.context.clock,
             self.metrics,
+            reader_choice(members, replica),
         )
         self.metrics.gauge("log_lines_dropped", logs.dropped_lines)
         self.metrics.gauge("store_era", lambda: replica.as_of.era)
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
@@ -22,6 +22,8 @@
         address: address for messages of other processes, "tcp://IP:port".
         zone: its availability zone.
         region: region of the zone.
+        link_mbps: rate of this machine's network link; 0 if not known. In a large
+            fleet, members with the most of it report for their availability zone.
         first_start: whether the whole fleet starts for the first time, so that no
             rate tokens can have been used.
     """
@@ -30,6 +32,7 @@
     address: str
     zone: str
     region: str = ""
+    link_mbps: float = Field(default=0.0, ge=0)
     first_start: bool = False
 
     @field_validator("address")
--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -30,6 +30,7 @@
 PROBE_MARGIN_S = 0.6  # as RESPONSE_MARGIN_S; a slow store responds within it
 RETRY_S = 0.1
 RETRY_MAX_S = 0.4
+FOLLOW_POLL_S = 0.1  # while other members read, time between two checks for that
 MIN_OUTAGE_S = 0.8  # failures for at least this time count as an outage
 ALL_PATHS = ""  # a prefix of every path
 
@@ -50,8 +51,23 @@
         replica: StoreReplica,
         clock: Clock,
         metrics: Metrics,
+        should_read: Callable[[float], bool],
     ) -> None:
+        """Create the reader.
+
+        Args:
+            address: "IP:port" of the store.
+            wait_s: longest wait of one watch for a change.
+            adapter: calls of the store and their decoding.
+            client: HTTP client.
+            replica: replica to update.
+            clock: seconds; runs on while the machine is suspended.
+            metrics: counters of calls and failures.
+            should_read: whether this process reads the store at a time, or follows
+                other members that do.
+        """
         super().__init__()
+        self._should_read = should_read
         self._address = address
         self._wait_s = wait_s
         self._adapter = adapter
@@ -66,6 +82,10 @@
     async def _run(self) -> None:
         delay = RETRY_S
         while not self.should_stop:
+            if not self._should_read(self._clock()):
+                self._failing_since = None
+                await asyncio.sleep(FOLLOW_POLL_S)
+                continue
             step = self._watch if self._has_snapshot else self._read_all
             try:
                 await step()
@@ -95,7 +115,7 @@
             after = page.documents[-1].path
         self._record_success()
         if self._replica.replace(documents, as_of):
-            self._replica.confirm_current_at(started)
+            self._replica.record_read(started)
             self._has_snapshot = True
 
     async def _watch(self) -> None:
@@ -114,7 +134,7 @@
             self._has_snapshot = False
             return
         if self._replica.apply(page.documents, page.as_of):
-            self._replica.confirm_current_at(started)
+            self._replica.record_read(started)
 
     async def _call(
         self,
@@ -136,6 +156,7 @@
 
     def _record_failure(self, error: Exception) -> None:
         self._metrics.count("store_failures")
+        self._replica.record_failed_read()
         if self._failing_since is None:
             self._failing_since = self._clock()
             logger.warning(
--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -21,6 +21,7 @@
 )
 from ebonyglade.forward.store_replica import StoreReplica
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage, StoreVersion
+from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
     EngineState,
@@ -30,6 +31,9 @@
     MemoryRequest,
     PrefillLeaseRelease,
     PrefillLeaseRequest,
+    RefusalNotice,
+    TokensAdmitted,
+    ZoneReport,
 )
 
 logger = logging.getLogger(__name__)
@@ -79,11 +83,25 @@
         address: str,
         seeds: tuple[str, ...],
         audit: AuditTrail,
+        capacity: float = 0.0,
     ) -> None:
+        """Create the agent.
+
+        Args:
+            context: transport, clock and timers.
+            adapter: decodes the platform's documents.
+            address: "IP:port" of the endpoint.
+            seeds: addresses of members to contact first.
+            audit: trail of changes of the store replica.
+            capacity: rate of the network link in Mbit/s; 0 if not known.
+        """
         self.context = context
         self.replica = StoreReplica(adapter, context.clock, audit)
         self.replica_sync = ReplicaSync(context, self.replica)
-        self.members = FleetMembers(context, seeds, self._compose_heartbeat)
+        self.members = FleetMembers(context, seeds, self._compose_heartbeat, capacity)
+        self.zones = ZoneExchange(
+            context, self.members, False, self.replica_sync.leaving_records
+        )
         self._address = address
         self._report: EngineReport | None = None
         self._reported_at = 0.0
@@ -100,10 +118,17 @@
             self.replica_sync.on_heartbeat,
             self._on_heartbeat,
         ]
+        self.zones.listeners += [
+            self.replica_sync.on_zone_report,
+            self._on_zone_report,
+        ]
+        self.zones.start()
         self.members.start()
         self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
         self.context.handle(
             {
+                TokensAdmitted: self._on_tokens_admitted,
+                RefusalNotice: self._on_refused,
                 MemoryRequest: self._on_memory_request,
                 MemoryRelease: self._on_memory_release,
                 PrefillLeaseRequest: self._on_lease_request,
@@ -153,12 +178,24 @@
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         """Record whether a member's endpoint is changing its stage."""
-        if heartbeat.engine is None:
-            return
-        if heartbeat.engine.changing:
-            self._last_changing[heartbeat.engine.endpoint] = self.context.clock()
+        if heartbeat.engine is not None:
+            self._record_engine(heartbeat.engine, self.context.clock())
+
+    def _on_zone_report(self, report: ZoneReport, at: float) -> None:
+        for record in report.engines:
+            self._record_engine(record.state, at)
+
+    def _record_engine(self, state: EngineState, at: float) -> None:
+        if state.changing:
+            self._last_changing[state.endpoint] = at
         else:
-            self._last_changing.pop(heartbeat.engine.endpoint, None)
+            self._last_changing.pop(state.endpoint, None)
+
+    def _on_tokens_admitted(self, sender: Sender, message: TokensAdmitted) -> None:
+        self.zones.record_admitted(sender.instance, sender.incarnation, message)
+
+    def _on_refused(self, sender: Sender, message: RefusalNotice) -> None:
+        self.zones.pass_on_refusal(message)
 
     def _changing_endpoints(self, now: float) -> set[str]:
         """Return the ids of the endpoints that are changing their stage."""
@@ -171,16 +208,19 @@
             del self._last_changing[name]
         return set(self._last_changing)
 
-    def _compose_heartbeat(self) -> FleetHeartbeat:
+    def _compose_heartbeat(self, complete: bool) -> FleetHeartbeat:
         now = self.context.clock()
-        return FleetHeartbeat(
+        heartbeat = FleetHeartbeat(
             sent_at=now,
             zone=self.context.identity.zone,
-            members=self.members.recent_members(now),
             store=self.replica_sync.store_state(),
             leaving=self.replica_sync.leaving_records(),
             engine=self._engine_state(now),
+            capacity=self.members.capacity,
+            zoned=True,
         )
+        self.zones.record_own(heartbeat)
+        return heartbeat
 
     def _engine_state(self, now: float) -> EngineState | None:
         report, own = self._report, self.endpoint
--- a/packages/ebonyglade/src/ebonyglade/forward/agent_client.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent_client.py
@@ -13,16 +13,25 @@
     MemoryRequest,
     PrefillLeaseRelease,
     PrefillLeaseRequest,
+    ZoneReport,
 )
 
 AGENT_SILENCE_S = 1.0  # an agent that was silent for this long is not asked
+RELAYED_SILENCE_S = 2.0  # the same for an agent whose state other members pass on
 RESPONSE_TIMEOUT_S = 0.1  # a response takes a round trip of a few milliseconds
 
 
 @dataclass(frozen=True, slots=True)
 class _Agent:
+    """The agent beside an endpoint.
+
+    Attributes:
+        address: address at which it receives messages.
+        usable_until: until when it is asked without being heard again.
+    """
+
     address: str
-    last_heard: float
+    usable_until: float
 
 
 @dataclass(slots=True)
@@ -40,8 +49,15 @@
     def on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         """Record which endpoint an agent is beside."""
         if heartbeat.engine is not None:
-            agent = _Agent(member.address, self.context.clock())
-            self._agents[heartbeat.engine.endpoint] = agent
+            until = self.context.clock() + AGENT_SILENCE_S
+            self._agents[heartbeat.engine.endpoint] = _Agent(member.address, until)
+
+    def on_zone_report(self, report: ZoneReport, at: float) -> None:
+        """Record the agents of another zone and the endpoints that they are beside."""
+        for record in report.engines:
+            self.context.transport.set_address(record.agent, record.agent)
+            until = at - record.state.age_s + RELAYED_SILENCE_S
+            self._agents[record.state.endpoint] = _Agent(record.agent, until)
 
     def retain(self, endpoints: set[str]) -> None:
         """Forget the agents of all other endpoints."""
@@ -55,8 +71,7 @@
     def has_agent(self, endpoint: str) -> bool:
         """Return whether an endpoint has an agent that was heard recently."""
         agent = self._agents.get(endpoint)
-        now = self.context.clock()
-        return agent is not None and now - agent.last_heard < AGENT_SILENCE_S
+        return agent is not None and self.context.clock() < agent.usable_until
 
     async def request_memory(self, message: MemoryRequest) -> GrantResponse | None:
         """Request memory; return the agent's response, None if none came in time."""
--- a/packages/ebonyglade/src/ebonyglade/forward/crash_counts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/crash_counts.py
@@ -72,6 +72,11 @@
         else:
             self._by_entry.pop(entry, None)
 
+    def retain_entries(self, entries: set[str]) -> None:
+        """Forget the counts of all others that are not among `entries`."""
+        for entry in set(self._by_entry) - entries:
+            del self._by_entry[entry]
+
     def remove_entry(self, entry: str) -> None:
         """Forget the counts of an entry that has ended."""
         self._by_entry.pop(entry, None)
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -21,14 +21,15 @@
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rate_exchange import RateExchange
-from ebonyglade.forward.rates import FleetRates, RateTolerance
+from ebonyglade.forward.rates import FleetRates, RateTolerance, zone_key
 from ebonyglade.forward.replica_sync import ReplicaSync
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store_replica import StoreReplica, log_store_change
 from ebonyglade.forward.types import Load, Stage, Workspace
+from ebonyglade.forward.zone_exchange import RECENT_TOTALS_S, ZoneExchange
 from ebonyglade.ports import Sender
 from ebonyglade.verdict import Refusal, Verdict, refuse
-from ebonyglade.wire.fleet import EngineState, FleetHeartbeat, RefusalNotice
+from ebonyglade.wire.fleet import EngineState, FleetHeartbeat, RefusalNotice, ZoneReport
 
 logger = logging.getLogger(__name__)
 
@@ -49,11 +50,13 @@
             accepted; None if they are accepted at any age.
         budget: limits of the retry budget.
         rates: allowance above the workspaces' rates and bursts.
+        capacity: rate of this machine's network link in Mbit/s; 0 if not known.
     """
 
     max_key_age_s: float | None
     budget: RetryBudgetLimits
     rates: RateTolerance
+    capacity: float = 0.0
 
 
 class ForwardEntry:
@@ -76,8 +79,13 @@
         self.crashes = CrashCounts()
         self.first_attempts = FirstAttempts()
         self.loads = EndpointLoads()
-        self.members = FleetMembers(context, seeds, self._compose_heartbeat)
-        self.rate_exchange = RateExchange(context, self.members, self.rates)
+        self.members = FleetMembers(
+            context, seeds, self._compose_heartbeat, limits.capacity
+        )
+        self.zones = ZoneExchange(
+            context, self.members, True, self.replica_sync.leaving_records
+        )
+        self.rate_exchange = RateExchange(context, self.members, self.rates, self.zones)
         self.attempts = AttemptSender(
             adapter=adapter,
             port=port,
@@ -118,6 +126,12 @@
             self._on_heartbeat,
         ]
         self.members.departure_listeners.append(self._on_member_gone)
+        self.zones.listeners += [
+            self.replica_sync.on_zone_report,
+            self.agent_client.on_zone_report,
+            self._on_zone_report,
+        ]
+        self.zones.start()
         self.members.start()
         self.context.handle({RefusalNotice: self._on_refused})
         self.context.every(CLEANUP_INTERVAL_S, self._clean_up)
@@ -271,11 +285,12 @@
     def _announce_refusal(self, call: ForwardCall) -> None:
         self.first_attempts.record(call.fingerprint, call.first_asked_at)
         since = round(self.context.clock() - call.first_asked_at, 3)
-        self.members.broadcast_to_entries(RefusalNotice(call.fingerprint, since))
+        self.zones.announce_refusal(RefusalNotice(call.fingerprint, since))
 
     def _on_refused(self, sender: Sender, message: RefusalNotice) -> None:
         first = self.context.clock() - message.since_s
         self.first_attempts.record(message.fingerprint, first)
+        self.zones.pass_on_refusal(message)
 
     def _refund(self, call: ForwardCall) -> None:
         if call.workspace is not None and call.cost:
@@ -294,30 +309,42 @@
             return True
         return call.metadata.key in self.replica.table.workspaces_by_key
 
-    def _compose_heartbeat(self) -> FleetHeartbeat:
+    def _compose_heartbeat(self, complete: bool) -> FleetHeartbeat:
         now = self.context.clock()
-        return FleetHeartbeat(
+        recent = now - RECENT_TOTALS_S
+        heartbeat = FleetHeartbeat(
             sent_at=now,
             entry=True,
             zone=self.context.identity.zone,
-            members=self.members.recent_members(now),
             store=self.replica_sync.store_state(),
-            spent=self.rates.spent,
+            spent=dict(self.rates.spent)
+            if complete
+            else self.rates.spent_since(recent),
+            partial=not complete,
             crashes=self.crashes.own_counts(now),
             leaving=self.replica_sync.leaving_records(),
+            capacity=self.members.capacity,
+            zoned=True,
         )
+        if complete:
+            self.zones.record_own(heartbeat)
+        return heartbeat
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
-        now = self.context.clock()
-        if heartbeat.entry:
+        if heartbeat.entry and not self.members.is_represented(member):
             self.crashes.update_from(member.address, heartbeat.crashes)
         if heartbeat.engine is not None:
-            self.generation_dispatcher.reserver.memory_estimates.update_from_agent(
-                heartbeat.engine, now
-            )
-            self._record_load(heartbeat.engine, now)
+            self._record_engine(heartbeat.engine, self.context.clock())
+
+    def _on_zone_report(self, report: ZoneReport, at: float) -> None:
+        if not report.partial:
+            self.crashes.update_from(zone_key(report.zone), report.crashes)
+        for record in report.engines:
+            self._record_engine(record.state, at)
 
-    def _record_load(self, state: EngineState, now: float) -> None:
+    def _record_engine(self, state: EngineState, now: float) -> None:
+        memory_estimates = self.generation_dispatcher.reserver.memory_estimates
+        memory_estimates.update_from_agent(state, now)
         endpoint = self.replica.registry.endpoints.get(state.endpoint)
         if endpoint is not None and endpoint.stage is Stage.PREFILL:
             load = Load(state.running, state.waiting, endpoint.slots)
@@ -326,8 +353,14 @@
     def _on_member_gone(self, member: Member) -> None:
         self.crashes.remove_entry(member.address)
 
+    def _speaking_names(self) -> set[str]:
+        """Return the names of the members and zones that report crash counts."""
+        names = {item.address for item in self.members.direct()}
+        return names | {zone_key(zone) for zone in self.members.other_zones.reporters}
+
     def _clean_up(self, now: float) -> None:
         self.rate_exchange.forget_departed()
+        self.crashes.retain_entries(self._speaking_names())
         listed = self.replica.registry.endpoints
         self.loads.retain(listed)
         self.generation_dispatcher.reserver.memory_estimates.retain(listed)
--- a/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
@@ -5,14 +5,16 @@
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member
-from ebonyglade.forward.rates import FleetRates
+from ebonyglade.forward.rates import FleetRates, zone_key
 from ebonyglade.forward.types import Workspace
+from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
     FleetHeartbeat,
     RateLevels,
     RateLevelsRequest,
     TokensAdmitted,
+    ZoneReport,
 )
 
 logger = logging.getLogger(__name__)
@@ -29,16 +31,19 @@
         context: transport and clock.
         members: the other entries.
         rates: this entry's buckets.
+        zones: exchange with the other zones of a large fleet.
     """
 
     context: Context
     members: FleetMembers
     rates: FleetRates
+    zones: ZoneExchange
 
     def start(self) -> None:
         """Register listeners and message handlers."""
         self.members.heartbeat_listeners.append(self._on_heartbeat)
         self.members.departure_listeners.append(self._on_member_gone)
+        self.zones.listeners.append(self._on_zone_report)
         self.context.handle(
             {
                 TokensAdmitted: self._on_spent,
@@ -51,27 +56,46 @@
         """Report an expensive request to the other entries at once."""
         if workspace.rate <= 0 or cost < BROADCAST_SHARE * workspace.burst:
             return
-        total = self.rates.spent[workspace.name]
-        self.members.broadcast_to_entries(TokensAdmitted(workspace.name, total))
+        message = TokensAdmitted(workspace.name, self.rates.spent[workspace.name])
+        self.members.broadcast_to_entries(message)
+        self.zones.announce_admitted(message)
 
     def forget_departed(self) -> None:
-        """Forget the entries that are no longer members."""
-        self.rates.retain_entries({item.address for item in self.members.all()})
+        """Forget the entries and zones that no longer speak for themselves."""
+        kept = {item.address for item in self.members.direct()}
+        if self.members.divided:
+            kept |= {zone_key(zone) for zone in self.members.other_zones.reporters}
+        self.rates.retain_entries(kept)
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
-        if not heartbeat.entry:
+        if not heartbeat.entry or self.members.is_represented(member):
             return
         now = self.context.clock()
         self.rates.apply_totals(
-            member.address, member.incarnation, heartbeat.spent, now
+            member.address,
+            member.incarnation,
+            heartbeat.spent,
+            now,
+            complete=not heartbeat.partial,
         )
         if self.rates.should_request_levels(now):
             self.context.send(member.address, RateLevelsRequest())
 
+    def _on_zone_report(self, report: ZoneReport, at: float) -> None:
+        self.rates.apply_zone(
+            report.zone,
+            f"{report.reporter} {report.incarnation}",
+            report.spent,
+            self.context.clock(),
+            report.complete,
+            None if report.partial else report.entries,
+        )
+
     def _on_member_gone(self, member: Member) -> None:
         self.rates.remove_entry(member.address)
 
     def _on_spent(self, sender: Sender, message: TokensAdmitted) -> None:
+        self.zones.record_admitted(sender.instance, sender.incarnation, message)
         self.rates.apply_early_total(
             sender.instance,
             sender.incarnation,
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -89,18 +89,28 @@
         spent: tokens that it admitted since its start, by workspace.
         last_heard: when it last reported.
         assumed_spent: tokens that it is assumed to have spent since, by workspace.
+        entries: number of entries that it stands for; more than one for a zone.
+        offsets: for a zone, what to add to the totals of each of its reporters, since
+            each counts from its own start.
     """
 
     incarnation: str
     spent: dict[str, float]
     last_heard: float
     assumed_spent: dict[str, float] = field(default_factory=dict)
+    entries: int = 1
+    offsets: dict[str, dict[str, float]] = field(default_factory=dict)
 
 
 def _no_workspace(name: str) -> Workspace | None:
     return None
 
 
+def zone_key(zone: str) -> str:
+    """Return the name under which the totals of a zone are kept."""
+    return f"zone {zone}"
+
+
 @dataclass(slots=True)
 class FleetRates:
     """Buckets of all workspaces, as this entry sees them.
@@ -118,6 +128,7 @@
     _requested_at: float = float("-inf")
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
     _others: dict[str, _OtherEntry] = field(default_factory=dict)
+    _spent_at: dict[str, float] = field(default_factory=dict)
     _spent: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -125,6 +136,14 @@
         """Tokens that this entry admitted since its start, by workspace."""
         return self._spent
 
+    def spent_since(self, at: float) -> dict[str, float]:
+        """Return the totals of the workspaces for which this entry admitted tokens."""
+        return {
+            name: self._spent[name]
+            for name, spent_at in self._spent_at.items()
+            if spent_at >= at
+        }
+
     def level(self, workspace: str) -> float:
         """Return the tokens in a workspace's bucket at its last update; 0.0 if none."""
         bucket = self._buckets.get(workspace)
@@ -201,20 +220,36 @@
         missing = min(cost, self.limits.burst(workspace)) - bucket.level
         if missing > 0:
             return max(missing / self.limits.rate(workspace), 0.001)
-        self._charge(workspace.name, cost)
+        self._charge(workspace.name, cost, now)
         return 0.0
 
     def refund(self, workspace: Workspace, cost: float) -> None:
         """Return the tokens of a request that did not run to the bucket."""
         if workspace.rate > 0:
-            self._charge(workspace.name, -cost)
+            self._charge(workspace.name, -cost, self._buckets[workspace.name].at)
 
     def apply_totals(
-        self, entry: str, incarnation: str, spent: dict[str, float], now: float
+        self,
+        entry: str,
+        incarnation: str,
+        spent: dict[str, float],
+        now: float,
+        complete: bool = True,
     ) -> None:
-        """Apply the totals that another entry reports in a heartbeat."""
+        """Apply the totals that another entry reports in a heartbeat.
+
+        Args:
+            entry: address of the entry.
+            incarnation: its incarnation.
+            spent: its totals by workspace.
+            now: seconds.
+            complete: whether these are all of its totals, or those that changed
+                lately.
+        """
         other = self._others.get(entry)
         if other is None:
+            if not complete:
+                return
             # What it admitted before this process knew of it is not charged.
             other = self._others[entry] = _OtherEntry(incarnation, dict(spent), now)
         elif other.incarnation != incarnation:
@@ -222,7 +257,54 @@
         for name, total in spent.items():
             self._charge_total(other, name, total, now)
         other.last_heard = now
-        other.assumed_spent.clear()
+        if complete:
+            other.assumed_spent.clear()
+
+    def apply_zone(
+        self,
+        zone: str,
+        reporter: str,
+        spent: dict[str, float],
+        now: float,
+        complete: bool,
+        entries: int | None = None,
+    ) -> None:
+        """Apply the totals of all entries of another zone.
+
+        Several reporters count the same tokens. The highest of their totals counts,
+        each measured from the zone's total when the reporter was first heard, so that
+        a token is charged at most once.
+
+        Args:
+            zone: the availability zone.
+            reporter: the member that counted, with its incarnation.
+            spent: totals by workspace.
+            now: seconds.
+            complete: whether these are all totals, or those that changed lately.
+            entries: number of entries of the zone; None if not stated.
+        """
+        name = zone_key(zone)
+        other = self._others.get(name)
+        if other is None:
+            if not complete:
+                return
+            other = self._others[name] = _OtherEntry("", {}, now)
+        if entries is not None:
+            other.entries = entries
+        offsets = other.offsets.get(reporter)
+        if offsets is None:
+            if not complete:
+                return
+            offsets = other.offsets[reporter] = dict(other.spent)
+            for workspace, total in spent.items():
+                offsets[workspace] = other.spent.get(workspace, 0.0) - total
+        for workspace, total in spent.items():
+            known = other.spent.get(workspace, 0.0)
+            counted = max(known, total + offsets.get(workspace, 0.0))
+            self._charge_total(other, workspace, counted, now)
+        other.last_heard = now
+        if complete:
+            other.assumed_spent.clear()
 
     def apply_early_total(
         self,
@@ -261,9 +343,10 @@
             # What the entry was assumed to spend during its silence is already charged.
             bucket.level -= increase - other.assumed_spent.pop(name, 0.0)
 
-    def _charge(self, name: str, cost: float) -> None:
+    def _charge(self, name: str, cost: float, now: float) -> None:
         self._buckets[name].level -= cost
         self._spent[name] = self._spent.get(name, 0.0) + cost
+        self._spent_at[name] = now
 
     def _new_bucket(self, workspace: Workspace, now: float) -> _Bucket:
         """Return a bucket from which nothing was spent since this process started."""
@@ -282,11 +365,12 @@
             bucket = self._buckets[workspace.name] = self._new_bucket(workspace, now)
         elapsed = max(0.0, now - bucket.at)
         bucket.at = now
-        equal_share = rate / (1 + len(self._others))
+        entries = 1 + sum(other.entries for other in self._others.values())
+        equal_share = rate / entries
         bucket.level += rate * elapsed
         for other in self._others.values():
             if now - other.last_heard > SILENT_AFTER_S:
-                assumed_cost = equal_share * elapsed
+                assumed_cost = equal_share * other.entries * elapsed
                 bucket.level -= assumed_cost
                 known = other.assumed_spent.get(workspace.name, 0.0)
                 other.assumed_spent[workspace.name] = known + assumed_cost
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
@@ -9,7 +9,7 @@
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import Member
-from ebonyglade.forward.store_replica import StoreReplica
+from ebonyglade.forward.store_replica import RELIST_GRACE_S, StoreReplica
 from ebonyglade.forward.types import NO_VERSION, StoreDocument, StoreVersion
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
@@ -19,6 +19,7 @@
     ReplicaRequest,
     ReplicaResponse,
     StoreState,
+    ZoneReport,
 )
 
 # Between two requests, so that a slow response is not requested twice.
@@ -42,13 +43,15 @@
     def store_state(self) -> StoreState:
         """Return the version and age of this process' replica."""
         replica = self.replica
-        age = replica.age(self.context.clock())
-        known = replica.as_of > NO_VERSION and age < float("inf")
+        now = self.context.clock()
+        known = replica.as_of > NO_VERSION
         return StoreState(
             replica.as_of.revision,
-            age if known else -1.0,
+            _known_age(replica.age(now)) if known else -1.0,
             replica.as_of.era,
             replica.configuration_version,
+            _known_age(replica.read_age(now)),
+            round(replica.relist_time_left(now), 3),
         )
 
     def leaving_records(self) -> list[LeavingRecord]:
@@ -66,10 +69,9 @@
         time of this process' clock, so that the clocks need not agree.
         """
         replica = self.replica
-        for record in heartbeat.leaving:
-            outdated = StoreVersion(record.era, record.revision)
-            replica.mark_leaving(record.endpoint, outdated, observed=False)
+        self._mark_leaving(heartbeat.leaving)
         state = heartbeat.store
+        self._record_outage_end(state.relist_s)
         if state.age_s < 0:
             return
         version = StoreVersion(state.era, state.as_of)
@@ -84,6 +86,15 @@
             # era confirms what the store has lost since.
             replica.confirm_current_at(heartbeat.echo - state.age_s)
 
+    def on_zone_report(self, report: ZoneReport, at: float) -> None:
+        """Record the endpoints that told members of another zone that they leave."""
+        self._mark_leaving(report.leaving)
+
+    def _mark_leaving(self, records: list[LeavingRecord]) -> None:
+        for record in records:
+            outdated = StoreVersion(record.era, record.revision)
+            self.replica.mark_leaving(record.endpoint, outdated, observed=False)
+
     def _request(self, member: Member) -> None:
         now = self.context.clock()
         if (
@@ -120,6 +131,7 @@
                 if item.version > after or self._has_newer_configuration(item, message)
             ],
             state.era,
+            state.relist_s,
         )
         self.context.transport.set_address(sender.instance, sender.address)
         self.context.send(sender.instance, response)
@@ -147,7 +159,19 @@
                 replica.adopt_configuration(item)
         if as_of < replica.as_of:
             return
+        self._record_outage_end(response.relist_s)
         unchanged = set(response.paths) - {item.path for item in changed}
         kept = [item for item in replica.documents() if item.path in unchanged]
         if replica.replace([*changed, *kept], as_of):
             replica.confirm_current_at(response.sent_at - response.age_s)
+
+    def _record_outage_end(self, relist_s: float) -> None:
+        """Record the end of an outage that another member has seen."""
+        if relist_s > 0:
+            now = self.context.clock()
+            self.replica.record_outage_end(now - RELIST_GRACE_S + relist_s)
+
+
+def _known_age(age: float) -> float:
+    """Return an age as it is stated to others; negative if it is infinite."""
+    return age if age < float("inf") else -1.0
--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -77,6 +77,7 @@
     leaving: LeavingMarks = field(default_factory=LeavingMarks)
     _documents: dict[str, StoreDocument] = field(default_factory=dict)
     _confirmed_at: float = NEVER
+    _read_at: float = NEVER
     _outage_ended_at: float = NEVER
     _drop_at: dict[str, float] = field(default_factory=dict)
     _departed: dict[str, _Departed] = field(default_factory=dict)
@@ -102,9 +103,26 @@
         """Record a time at which the replica was complete."""
         self._confirmed_at = max(self._confirmed_at, at)
 
-    def record_outage_end(self, now: float) -> None:
-        """Record that the store answers again after an outage."""
-        self._outage_ended_at = now
+    def record_read(self, at: float) -> None:
+        """Record that this process itself read the store as it was at a time."""
+        self._read_at = at
+        self.confirm_current_at(at)
+
+    def record_failed_read(self) -> None:
+        """Record that this process can't read the store now."""
+        self._read_at = NEVER
+
+    def read_age(self, now: float) -> float:
+        """Return the seconds since this process itself read the store."""
+        return now - self._read_at
+
+    def record_outage_end(self, at: float) -> None:
+        """Record that the store answers again after an outage since a time."""
+        self._outage_ended_at = max(self._outage_ended_at, at)
+
+    def relist_time_left(self, now: float) -> float:
+        """Return the seconds for which endpoints missing since an outage are kept."""
+        return max(0.0, self._outage_ended_at + RELIST_GRACE_S - now)
 
     def documents(self) -> Iterable[StoreDocument]:
         """Return the documents of the replica."""
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -16,10 +16,14 @@
         address: address at which it receives messages.
         silent_s: seconds since the sender or another member last received a
             message from it.
+        zone: its availability zone; "" if it is not known.
+        capacity: see `FleetHeartbeat`.
     """
 
     address: str
     silent_s: float
+    zone: str = ""
+    capacity: float = 0.0
 
 
 class StoreState(msgspec.Struct, frozen=True, array_like=True):
@@ -32,12 +36,18 @@
         era: era of the store that the revision belongs to.
         configuration: version of the configuration in force; the store may list an
             older one after it came back from an older copy.
+        read_age_s: seconds since the sender's own last successful read of the store;
+            negative if it does not read or its last read failed.
+        relist_s: seconds for which endpoints that are missing since an outage are
+            still kept.
     """
 
     as_of: int = 0
     age_s: float = -1.0
     era: int = 0
     configuration: int = 0
+    read_age_s: float = -1.0
+    relist_s: float = 0.0
 
 
 class LeavingRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -75,7 +85,7 @@
 
 
 class FleetHeartbeat(Message, tag="Beat"):
-    """Heartbeat, sent to every member at a fixed interval.
+    """Heartbeat, sent at a fixed interval to the members that the sender speaks to.
 
     Attributes:
         sent_at: time by the sender's clock; the receiver returns it as `echo`.
@@ -83,13 +93,17 @@
             none.
         entry: whether the sender accepts callers' requests.
         zone: the sender's availability zone.
-        members: members that the sender knows of.
+        members: members that the sender knows of, in some of the heartbeats.
         store: state of the sender's replica of the store.
         spent: tokens that the sender admitted since its start, by workspace.
+        partial: whether `spent` has only the workspaces whose totals changed lately.
         engine: state of the endpoint beside the sender, if it has one.
         crashes: number of endpoint crashes that the sender itself observed, by
             fingerprint of the request that was running.
         leaving: endpoints that told the sender that they leave.
+        capacity: rate of the sender's network link in Mbit/s; 0 if not known.
+        zoned: whether the sender understands `ZoneReports`, so that in a large fleet
+            it needs no heartbeats from members of other zones.
     """
 
     sent_at: float
@@ -102,6 +116,62 @@
     engine: EngineState | None = None
     crashes: dict[str, int] = {}
     leaving: list[LeavingRecord] = []
+    partial: bool = False
+    capacity: float = 0.0
+    zoned: bool = False
+
+
+class EngineRecord(msgspec.Struct, frozen=True, array_like=True):
+    """State of a model endpoint, and the address of the agent that reported it."""
+
+    agent: str
+    state: EngineState
+
+
+class ZoneReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one member reports of all members of its availability zone.
+
+    Attributes:
+        zone: the availability zone.
+        reporter: address of the member that made the report.
+        incarnation: incarnation of that member; its numbers and totals start anew
+            with each.
+        number: number of the report; increases with each one.
+        age_s: seconds since the report was made.
+        members: number of members of the zone.
+        entries: number of entries among them.
+        reporters: addresses of the members that report for the zone, the first one
+            and those that replace it.
+        spent: tokens that the entries of the zone admitted since the reporter's
+            start, by workspace.
+        partial: whether the report has only the workspaces whose totals changed
+            lately, and nothing else.
+        engines: states of the model endpoints in the zone.
+        crashes: endpoint crashes that the zone's entries observed, by fingerprint.
+        leaving: endpoints that told a member of the zone that they leave.
+        complete: whether `spent` has all workspaces.
+    """
+
+    zone: str
+    reporter: str
+    incarnation: str
+    number: int
+    age_s: float
+    members: int = 0
+    entries: int = 0
+    reporters: list[str] = []
+    spent: dict[str, float] = {}
+    partial: bool = False
+    engines: list[EngineRecord] = []
+    crashes: dict[str, int] = {}
+    leaving: list[LeavingRecord] = []
+    complete: bool = False
+
+
+class ZoneReports(Message):
+    """Reports of other zones, or the sender's report of its own zone."""
+
+    reports: list[ZoneReport] = []
 
 
 class ReplicaDocument(msgspec.Struct, frozen=True, array_like=True):
@@ -139,6 +209,7 @@
         changed: documents that changed after the requested revision, and the
             configuration if the requested one is older.
         era: era of the store that the revisions belong to.
+        relist_s: as in `StoreState`.
     """
 
     sent_at: float
@@ -147,6 +218,7 @@
     paths: list[str] = []
     changed: list[ReplicaDocument] = []
     era: int = 0
+    relist_s: float = 0.0
 
 
 class ShutdownNotice(Message, tag="Farewell"):
@@ -195,10 +267,12 @@
     Attributes:
         fingerprint: fingerprint of the request, which its repeats share.
         since_s: seconds since its caller first sent the request.
+        relay: whether the receiver passes it on to the entries of its zone.
     """
 
     fingerprint: str
     since_s: float
+    relay: bool = False
 
 
 class MemoryRequest(Message, tag="RoomAsk"):
@@ -269,6 +343,7 @@
 
 MESSAGES = (
     FleetHeartbeat,
+    ZoneReports,
     ReplicaRequest,
     ReplicaResponse,
     ShutdownNotice,
--- a/tests/helpers/members.py
+++ b/tests/helpers/members.py
@@ -41,12 +41,11 @@
         self.members.start()
         self.process.spawn(self._run())
 
-    def _compose_heartbeat(self):
+    def _compose_heartbeat(self, complete):
         now = self.context.clock()
         return FleetHeartbeat(
             now,
             entry=True,
-            members=self.members.recent_members(now),
             store=self.replica_sync.store_state(),
             leaving=self.replica_sync.leaving_records(),
         )
