--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -129,6 +129,7 @@
         departure_listeners: called when a member announces its shutdown or has a new
             incarnation; not when it is forgotten.
         other_zones: what is known of the other zones in a divided fleet.
+        undivided_up_to: number of members above which a fleet is divided.
         divided: whether the fleet is divided by zones.
     """
 
@@ -139,6 +140,7 @@
     heartbeat_listeners: list[HeartbeatListener] = field(default_factory=list)
     departure_listeners: list[Callable[[Member], None]] = field(default_factory=list)
     other_zones: OtherZones = field(default_factory=OtherZones)
+    undivided_up_to: int = ZONED_ABOVE_MEMBERS
     divided: bool = False
     _members: dict[str, Member] = field(default_factory=dict)
     _next_heartbeat_at: float = 0.0
@@ -325,8 +327,10 @@
         known = [item for item in self._members.values() if self._is_recent(item, now)]
         in_zone = sum(item.zone == self.zone for item in known)
         size = 1 + max(len(known), in_zone + self.other_zones.members)
-        limit = UNDIVIDED_BELOW_MEMBERS if self.divided else ZONED_ABOVE_MEMBERS
-        divided = size >= limit if self.divided else size > limit
+        if self.divided:
+            divided = size >= UNDIVIDED_BELOW_MEMBERS
+        else:
+            divided = size > self.undivided_up_to
         if divided != self.divided:
             logger.info(
                 "fleet divided by zones" if divided else "fleet no longer divided",
--- a/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
@@ -88,6 +88,7 @@
             report.spent,
             self.context.clock(),
             report.complete,
+            at,
             None if report.partial else report.entries,
         )
 
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -267,6 +267,7 @@
         spent: dict[str, float],
         now: float,
         complete: bool,
+        at: float,
         entries: int | None = None,
     ) -> None:
         """Apply the totals of all entries of another zone.
@@ -281,6 +282,7 @@
             spent: totals by workspace.
             now: seconds.
             complete: whether these are all totals, or those that changed lately.
+            at: time that the totals are of; not later than `now`.
             entries: number of entries of the zone; None if not stated.
         """
         name = zone_key(zone)
@@ -288,7 +290,7 @@
         if other is None:
             if not complete:
                 return
-            other = self._others[name] = _OtherEntry("", {}, now)
+            other = self._others[name] = _OtherEntry("", {}, at)
         if entries is not None:
             other.entries = entries
         offsets = other.offsets.get(reporter)
@@ -302,7 +304,7 @@
             known = other.spent.get(workspace, 0.0)
             counted = max(known, total + offsets.get(workspace, 0.0))
             self._charge_total(other, workspace, counted, now)
-        other.last_heard = now
+        other.last_heard = max(other.last_heard, at)
         if complete:
             other.assumed_spent.clear()
 
--- a/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
@@ -32,14 +32,20 @@
     ZoneReports,
 )
 
-TICK_S = 0.05  # between two checks for totals to report at once
+TICK_S = 0.05  # between two checks for what is to be reported
+MIN_PARTIAL_INTERVAL_S = 0.02  # between two reports of totals that changed
 REPORT_INTERVAL_S = 0.3  # between two full reports
-COMPLETE_EVERY = 10  # full reports; the others have the totals that changed lately
+# Full reports have the totals of all workspaces. With more workspaces than this, only
+# one in `COMPLETE_EVERY` does, and the others have the totals that changed lately.
+MAX_ALWAYS_COMPLETE = 64
+COMPLETE_EVERY = 10
 RECENT_TOTALS_S = 3.0  # totals that changed within this time are repeated
 ENGINE_MAX_AGE_S = 2.0  # engine states that are older are not reported
 REPORT_MAX_AGE_S = 2.0  # reports that are older are not passed on
 # A process that has just started does not know the members of its zone yet.
 SETTLE_S = 1.0
+# A report that was passed on twice seems newer by the difference of the two delays.
+MIN_NEWER_S = 0.05
 LISTED_REPORTERS = REPORTERS_PER_ZONE + 1
 
 ReportListener = Callable[[ZoneReport, float], None]
@@ -115,8 +121,10 @@
     _started_at: float = 0.0
     _next_report_at: float = 0.0
     _number: int = 0
+    _full_reports: int = 0
     _rounds: int = 0
     _changed_since: float | None = None
+    _partial_at: float = 0.0
 
     def start(self) -> None:
         """Register listeners, handlers and the timer."""
@@ -136,8 +144,12 @@
         """Record tokens that an entry of the zone reported ahead of its heartbeat."""
         now = self.context.clock()
         spent = {message.workspace: message.total}
-        if self._totals.apply(entry, incarnation, spent, False, now):
-            self._note_change(now)
+        if not self._totals.apply(entry, incarnation, spent, False, now):
+            return
+        if self._changed_since is None:
+            self._changed_since = now
+        if self.members.divided:
+            self._report_changes(now)
 
     def announce_admitted(self, message: TokensAdmitted) -> None:
         """Tell those that report for the zone what this entry admitted."""
@@ -179,9 +191,20 @@
         if full:
             self._send_to_reporters(self._full_report(now), now)
             self._send_to_zone(self._reports_to_pass_on(now), now)
-        elif self._changed_since is not None:
-            self._send_to_reporters(self._partial_report(), now)
-        self._changed_since = None
+            self._changed_since = None
+        self._report_changes(now)
+
+    def _report_changes(self, now: float) -> None:
+        """Report changed totals at once, as the first of the zone's reporters."""
+        if (
+            self._changed_since is None
+            or now - self._partial_at < MIN_PARTIAL_INTERVAL_S
+            or now - self._started_at < SETTLE_S
+            or not self._is_first_reporter(now)
+        ):
+            return
+        self._send_to_reporters(self._partial_report(), now)
+        self._partial_at, self._changed_since = now, None
 
     def _send_to_reporters(self, report: ZoneReport, now: float) -> None:
         message = ZoneReports([report])
@@ -198,7 +221,8 @@
     def _full_report(self, now: float) -> ZoneReport:
         members = self.members.zone_members(now)
         self._number += 1
-        complete = self._number % COMPLETE_EVERY == 1
+        self._full_reports += 1
+        complete = _is_complete(self._full_reports, self._totals.sums)
         recent = self._totals.changed_since(now - RECENT_TOTALS_S)
         return ZoneReport(
             zone=self.members.zone,
@@ -265,7 +289,7 @@
             age_s = now - known.at
             if age_s >= REPORT_MAX_AGE_S:
                 continue
-            complete = known.complete and self._rounds % COMPLETE_EVERY == 1
+            complete = known.complete and _is_complete(self._rounds, known.totals)
             spent = known.totals if complete else known.recent_totals(now)
             found.append(
                 msgspec.structs.replace(
@@ -294,10 +318,6 @@
         if heartbeat.engine is not None:
             self._engines[address] = _KnownEngine(heartbeat.engine, now)
 
-    def _note_change(self, now: float) -> None:
-        if self._changed_since is None:
-            self._changed_since = now
-
     def _on_reports(self, sender: Sender, message: ZoneReports) -> None:
         now = self.context.clock()
         for report in message.reports:
@@ -360,11 +380,17 @@
                 del by_address[address]
 
 
+def _is_complete(number: int, totals: dict[str, float]) -> bool:
+    """Return whether the report with a number has the totals of all workspaces."""
+    return len(totals) <= MAX_ALWAYS_COMPLETE or number % COMPLETE_EVERY == 1
+
+
 def _is_news(report: ZoneReport, at: float, known: _KnownReport) -> bool:
     """Return whether a report says something that is not known already."""
     if report.partial:
         return report.number > known.number
-    return report.complete or at > known.at
+    newly_complete = report.complete and not known.complete
+    return newly_complete or at > known.at + MIN_NEWER_S
 
 
 def _set_or_drop(known: dict, key: str, value: object) -> None:
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -20,9 +20,11 @@
 class Entry:
     """An entry on the simulated network; its configuration lists no endpoints."""
 
-    def __init__(self, network, name, rates=FIRST_START_RATES):
-        self.process = Process(name, "1")
-        context = member_context(self.process, network)
+    def __init__(
+        self, network, name, rates=FIRST_START_RATES, zone="z", incarnation="1"
+    ):
+        self.process = Process(name, incarnation)
+        context = member_context(self.process, network, zone)
         limits = ForwardLimits(None, RetryBudgetLimits(0.2, 10.0, 50.0), rates)
         self.core = ForwardEntry(context, plain_adapter, None, limits, ("e0",))
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
--- a/tests/helpers/members.py
+++ b/tests/helpers/members.py
@@ -14,10 +14,10 @@
 from ebonyglade_lab.virtual.process import Process
 
 
-def member_context(process, network):
+def member_context(process, network, zone="z"):
     """Return the context of a process whose instance id is also its address."""
     return Context(
-        identity=Identity(process.instance, process.incarnation, "z"),
+        identity=Identity(process.instance, process.incarnation, zone),
         transport=VirtualTransport(process, network),
         clock=process.clock,
         wall_clock=process.clock,
