--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/server.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/server.py
@@ -1,5 +1,9 @@
 """HTTP server of a stand-in, on a loopback port."""
 
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 from aiohttp import web
 from mode import Service
 
@@ -31,13 +35,29 @@
             self.app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, LOOPBACK, self._requested_port).start()
+        # Another socket can then hold the port when this one stops listening.
+        site = web.TCPSite(
+            self._runner, LOOPBACK, self._requested_port, reuse_port=True
+        )
+        await site.start()
 
     async def on_stop(self) -> None:
         """Stop serving."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @asynccontextmanager
+    async def down(self) -> AsyncIterator[None]:
+        """Stop serving; within this context the port stays taken.
+
+        Connections are refused, and no other server can take the port over.
+        """
+        with socket.socket() as reserved:
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            reserved.bind((LOOPBACK, self.port))
+            await self.stop()
+            yield
+
     async def crash(self) -> None:
         """Abort all connections and stop serving."""
         for connection in self._runner.server.connections:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -129,8 +129,8 @@
 
 
 async def test_endpoint_down_before_anything_is_sent(fleet):
-    await fleet.bookings["rooms-1"].stop()
-    answer = await fetch(fleet.urls()[0] + "/bookings", data=b"x")
+    async with fleet.bookings["rooms-1"].down():
+        answer = await fetch(fleet.urls()[0] + "/bookings", data=b"x")
     assert answer[0] == 503
     assert json.loads(answer[2])["error"]["verdict"] == "not_run"
     assert "Retry-After" in answer[1]
