--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -10,7 +10,13 @@
 
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.forward.types import ControlCall, StoreDocument, StorePage
+from ebonyglade.forward.types import (
+    ControlCall,
+    ControlResponse,
+    StoreDocument,
+    StorePage,
+    StoreVersion,
+)
 from ebonyglade.ports import Clock
 from ebonyglade_node.endpoint_client import EndpointClient
 from ebonyglade_node.metrics import Metrics
@@ -24,6 +30,7 @@
 PROBE_MARGIN_S = 0.6  # as RESPONSE_MARGIN_S; a slow store responds within it
 RETRY_S = 0.1
 RETRY_MAX_S = 0.4
+FOLLOW_POLL_S = 0.1  # while other members read, time between two checks for that
 MIN_OUTAGE_S = 0.8  # failures for at least this time count as an outage
 ALL_PATHS = ""  # a prefix of every path
 
@@ -44,8 +51,23 @@
         replica: StoreReplica,
         clock: Clock,
         metrics: Metrics,
+        should_read: Callable[[float], bool],
     ) -> None:
+        """Create the reader.
+
+        Args:
+            address: "IP:port" of the store.
+            wait_s: longest wait of one watch for a change.
+            adapter: calls of the store and their decoding.
+            client: HTTP client.
+            replica: replica to update.
+            clock: seconds; runs on while the machine is suspended.
+            metrics: counters of calls and failures.
+            should_read: whether this process reads the store at a time, or follows
+                other members that do.
+        """
         super().__init__()
+        self._should_read = should_read
         self._address = address
         self._wait_s = wait_s
         self._adapter = adapter
@@ -60,6 +82,10 @@
     async def _run(self) -> None:
         delay = RETRY_S
         while not self.should_stop:
+            if not self._should_read(self._clock()):
+                self._failing_since = None
+                await asyncio.sleep(FOLLOW_POLL_S)
+                continue
             step = self._watch if self._has_snapshot else self._read_all
             try:
                 await step()
@@ -72,51 +98,65 @@
     async def _read_all(self) -> None:
         started = self._clock()
         documents: list[StoreDocument] = []
-        after, as_of = "", None
+        as_of: StoreVersion | None = None
+        after = ""
         while True:
             call = self._adapter.range_call(ALL_PATHS, after)
             page = await self._call(call, READ_TIMEOUT_S, self._adapter.decode_page)
-            # The pages are not one snapshot, so the watch starts at the revision of
+            # The pages are not one snapshot, so the watch starts at the version of
             # the first page.
             as_of = page.as_of if as_of is None else as_of
+            if page.as_of.era != as_of.era:
+                logger.info("store changed its era between two pages; reading again")
+                return
             documents += page.documents
             if not page.truncated or not page.documents:
                 break
             after = page.documents[-1].path
         self._record_success()
-        self._replica.replace(documents, as_of)
-        self._replica.confirm_current_at(started)
-        self._has_snapshot = True
+        if self._replica.replace(documents, as_of):
+            self._replica.record_read(started)
+            self._has_snapshot = True
 
     async def _watch(self) -> None:
         started = self._clock()
+        after = self._replica.as_of
         # While the store is unreachable, a short wait shows sooner that it is back.
         unreachable = self._failing_since is not None
         wait_s = PROBE_WAIT_S if unreachable else self._wait_s
-        call = self._adapter.watch_call(ALL_PATHS, self._replica.as_of, wait_s)
+        call = self._adapter.watch_call(ALL_PATHS, after.revision, wait_s)
         timeout_s = wait_s + (PROBE_MARGIN_S if unreachable else RESPONSE_MARGIN_S)
         page = await self._call(call, timeout_s, self._adapter.decode_watch)
         self._record_success()
-        self._replica.apply(page.documents, page.as_of)
-        self._replica.confirm_current_at(started)
+        if page.as_of.era != after.era:
+            # The changes are those after a revision of another era, so that some of
+            # this era are missing among them.
+            self._has_snapshot = False
+            return
+        if self._replica.apply(page.documents, page.as_of):
+            self._replica.record_read(started)
 
     async def _call(
-        self, call: ControlCall, timeout_s: float, decode: Callable[[bytes], StorePage]
+        self,
+        call: ControlCall,
+        timeout_s: float,
+        decode: Callable[[ControlResponse], StorePage],
     ) -> StorePage:
         self._metrics.count("store_calls")
-        status, body = await self._client.call(self._address, call, timeout_s)
-        if status == HISTORY_GONE_STATUS:
+        response = await self._client.call(self._address, call, timeout_s)
+        if response.status == HISTORY_GONE_STATUS:
             # The missed changes are gone, so the whole store is read again.
             self._has_snapshot = False
-        if status != 200:
-            raise StoreUnavailable(f"status {status}")
+        if response.status != 200:
+            raise StoreUnavailable(f"status {response.status}")
         try:
-            return decode(body)
+            return decode(response)
         except ValueError as error:
             raise StoreUnavailable(f"invalid response: {error}") from error
 
     def _record_failure(self, error: Exception) -> None:
         self._metrics.count("store_failures")
+        self._replica.record_failed_read()
         if self._failing_since is None:
             self._failing_since = self._clock()
             logger.warning(
--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -20,7 +20,8 @@
     next_stage_change,
 )
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade.forward.types import Endpoint, EngineReport, Stage
+from ebonyglade.forward.types import Endpoint, EngineReport, Stage, StoreVersion
+from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
     EngineState,
@@ -30,6 +31,9 @@
     MemoryRequest,
     PrefillLeaseRelease,
     PrefillLeaseRequest,
+    RefusalNotice,
+    TokensAdmitted,
+    ZoneReport,
 )
 
 logger = logging.getLogger(__name__)
@@ -38,6 +42,10 @@
 MAX_REPLICA_AGE_S = 2.5
 CHANGE_EXPIRY_S = 1.5  # a stage change that another agent reported counts this long
 MAX_REPORT_AGE_S = 1.0  # memory is granted only on a report that is younger
+REFRESH_INTERVAL_S = 0.2  # between two checks for endpoints that are not listed again
+# Revisions of one era stay below this power of two. An era and a revision together
+# are still exact for peers that decode numbers as doubles.
+FENCE_REVISION_BITS = 40
 CHANGE_DELAY_S = {Stage.DECODE: TO_DECODE_DELAY_S, Stage.PREFILL: TO_PREFILL_DELAY_S}
 
 
@@ -47,8 +55,7 @@
 
     Attributes:
         stage: new stage.
-        fencing_token: fencing token: the store's revision, which never decreases and
-            survives restarts of this process.
+        fencing_token: see `fencing_token`.
         accepted_orders: number of orders that the endpoint has accepted so far.
     """
 
@@ -57,6 +64,15 @@
     accepted_orders: int
 
 
+def fencing_token(version: StoreVersion) -> int:
+    """Return a fencing token that never decreases, not even over restarts.
+
+    The store's version never decreases and is read again after a restart of this
+    process. Revisions alone go back when the store comes back from an older copy.
+    """
+    return version.era << FENCE_REVISION_BITS | version.revision
+
+
 class ForwardAgent:
     """Decides the stage of the endpoint beside an agent and grants its memory."""
 
@@ -67,11 +83,25 @@
         address: str,
         seeds: tuple[str, ...],
         audit: AuditTrail,
+        capacity: float = 0.0,
     ) -> None:
+        """Create the agent.
+
+        Args:
+            context: transport, clock and timers.
+            adapter: decodes the platform's documents.
+            address: "IP:port" of the endpoint.
+            seeds: addresses of members to contact first.
+            audit: trail of changes of the store replica.
+            capacity: rate of the network link in Mbit/s; 0 if not known.
+        """
         self.context = context
         self.replica = StoreReplica(adapter, context.clock, audit)
         self.replica_sync = ReplicaSync(context, self.replica)
-        self.members = FleetMembers(context, seeds, self._compose_heartbeat)
+        self.members = FleetMembers(context, seeds, self._compose_heartbeat, capacity)
+        self.zones = ZoneExchange(
+            context, self.members, False, self.replica_sync.leaving_records
+        )
         self._address = address
         self._report: EngineReport | None = None
         self._reported_at = 0.0
@@ -88,9 +118,17 @@
             self.replica_sync.on_heartbeat,
             self._on_heartbeat,
         ]
+        self.zones.listeners += [
+            self.replica_sync.on_zone_report,
+            self._on_zone_report,
+        ]
+        self.zones.start()
         self.members.start()
+        self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
         self.context.handle(
             {
+                TokensAdmitted: self._on_tokens_admitted,
+                RefusalNotice: self._on_refused,
                 MemoryRequest: self._on_memory_request,
                 MemoryRelease: self._on_memory_release,
                 PrefillLeaseRequest: self._on_lease_request,
@@ -129,16 +167,35 @@
             return None
         if now - self._planned_since < CHANGE_DELAY_S[planned.stage]:
             return None
-        return StageOrder(planned.stage, self.replica.as_of, report.orders)
+        return StageOrder(
+            planned.stage, fencing_token(self.replica.as_of), report.orders
+        )
+
+    def on_leaving(self) -> None:
+        """Record that the endpoint beside this agent states that it leaves."""
+        if self.endpoint is not None:
+            self.replica.mark_leaving(self.endpoint.id)
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         """Record whether a member's endpoint is changing its stage."""
-        if heartbeat.engine is None:
-            return
-        if heartbeat.engine.changing:
-            self._last_changing[heartbeat.engine.endpoint] = self.context.clock()
+        if heartbeat.engine is not None:
+            self._record_engine(heartbeat.engine, self.context.clock())
+
+    def _on_zone_report(self, report: ZoneReport, at: float) -> None:
+        for record in report.engines:
+            self._record_engine(record.state, at)
+
+    def _record_engine(self, state: EngineState, at: float) -> None:
+        if state.changing:
+            self._last_changing[state.endpoint] = at
         else:
-            self._last_changing.pop(heartbeat.engine.endpoint, None)
+            self._last_changing.pop(state.endpoint, None)
+
+    def _on_tokens_admitted(self, sender: Sender, message: TokensAdmitted) -> None:
+        self.zones.record_admitted(sender.instance, sender.incarnation, message)
+
+    def _on_refused(self, sender: Sender, message: RefusalNotice) -> None:
+        self.zones.pass_on_refusal(message)
 
     def _changing_endpoints(self, now: float) -> set[str]:
         """Return the ids of the endpoints that are changing their stage."""
@@ -151,15 +208,19 @@
             del self._last_changing[name]
         return set(self._last_changing)
 
-    def _compose_heartbeat(self) -> FleetHeartbeat:
+    def _compose_heartbeat(self, complete: bool) -> FleetHeartbeat:
         now = self.context.clock()
-        return FleetHeartbeat(
+        heartbeat = FleetHeartbeat(
             sent_at=now,
             zone=self.context.identity.zone,
-            members=self.members.recent_members(now),
             store=self.replica_sync.store_state(),
+            leaving=self.replica_sync.leaving_records(),
             engine=self._engine_state(now),
+            capacity=self.members.capacity,
+            zoned=True,
         )
+        self.zones.record_own(heartbeat)
+        return heartbeat
 
     def _engine_state(self, now: float) -> EngineState | None:
         report, own = self._report, self.endpoint
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -10,7 +10,7 @@
 from ebonyglade_lab.virtual.adapter import plain_adapter
 from ebonyglade_lab.virtual.network import open_frame
 from ebonyglade_lab.virtual.process import Process
-from helpers.forwarding import configuration, prompt, route
+from helpers.forwarding import at, configuration, prompt, route
 from helpers.members import member_context
 
 WORKSPACE = Workspace("w", ("key",), rate=100_000.0, burst=200_000.0)
@@ -20,9 +20,11 @@
 class Entry:
     """An entry on the simulated network; its configuration lists no endpoints."""
 
-    def __init__(self, network, name, rates=FIRST_START_RATES):
-        self.process = Process(name, "1")
-        context = member_context(self.process, network)
+    def __init__(
+        self, network, name, rates=FIRST_START_RATES, zone="z", incarnation="1"
+    ):
+        self.process = Process(name, incarnation)
+        context = member_context(self.process, network, zone)
         limits = ForwardLimits(None, RetryBudgetLimits(0.2, 10.0, 50.0), rates)
         self.core = ForwardEntry(context, plain_adapter, None, limits, ("e0",))
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
@@ -30,7 +32,7 @@
         shares = (Share("model", 1.0),)
         routes = [route(RetryMode.STREAM, shares=shares, target_s=1.0, timeout_s=14.0)]
         published = configuration(1, 2, routes=routes, workspaces=(WORKSPACE,))
-        self.core.replica.apply([published], 50)
+        self.core.replica.apply([published], at(50))
         self.core.replica.confirm_current_at(context.clock())
         self.process.spawn(self._run())
 
