--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -30,6 +30,9 @@
 PROBE_MARGIN_S = 0.6  # as RESPONSE_MARGIN_S; a slow store responds within it
 RETRY_S = 0.1
 RETRY_MAX_S = 0.4
+# The same while other members still read the store, so that no time is lost by it.
+FOLLOWING_RETRY_MAX_S = 1.6
+FOLLOWING_MAX_AGE_S = 2.0  # age of a replica that other members still confirm
 FOLLOW_POLL_S = 0.1  # while other members read, time between two checks for that
 MIN_OUTAGE_S = 0.8  # failures for at least this time count as an outage
 ALL_PATHS = ""  # a prefix of every path
@@ -92,8 +95,14 @@
                 delay = RETRY_S
             except (StoreUnavailable, aiohttp.ClientError, TimeoutError) as error:
                 self._record_failure(error)
+                delay = min(delay, self._longest_delay())
                 await asyncio.sleep(delay * random.uniform(0.5, 1.0))
-                delay = min(2 * delay, RETRY_MAX_S)
+                delay *= 2
+
+    def _longest_delay(self) -> float:
+        """Return the longest time between two attempts to read."""
+        following = self._replica.age(self._clock()) < FOLLOWING_MAX_AGE_S
+        return FOLLOWING_RETRY_MAX_S if following else RETRY_MAX_S
 
     async def _read_all(self) -> None:
         started = self._clock()
