--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -77,13 +77,13 @@
         listed = self.replica.registry.accepting(call.service.name, stage)
         return self.loads.choose(listed, excluded, self.zone, self.clock(), self.rng)
 
-    def paused_for(self, call: ForwardCall, stage: Stage | None = None) -> float:
+    def backoff_left(self, call: ForwardCall, stage: Stage | None = None) -> float:
         """Return the seconds until an endpoint takes requests again.
 
         The result is zero if one takes them now, or if there is none.
         """
         listed = self.replica.registry.accepting(call.service.name, stage)
-        return self.loads.paused_for([item.id for item in listed], self.clock())
+        return self.loads.backoff_left([item.id for item in listed], self.clock())
 
     def remaining_s(self, call: ForwardCall) -> float:
         """Return the seconds until the request's deadline."""
@@ -137,10 +137,10 @@
     def send_in_background(self, endpoint: Endpoint, call: ControlCall) -> None:
         """Make a control call without waiting for its response.
 
-        It is not made to an endpoint that is paused; what it would release there
+        It is not made to an endpoint that wants none now; what it would release there
         expires by itself.
         """
-        if self.loads.is_paused(endpoint.id, self.clock()):
+        if self.loads.in_backoff(endpoint.id, self.clock()):
             return
         task = asyncio.ensure_future(self.control(endpoint, call))
         self._background_tasks.add(task)
@@ -163,9 +163,9 @@
         if call.verdict is Verdict.NOT_RUN:
             if self.remaining_s(call) <= MIN_REMAINING_S:
                 return refuse("not_started")
-            paused_for = self.paused_for(call)
-            if paused_for > 0:
-                return refuse("overloaded", retry_after=paused_for)
+            backoff_left = self.backoff_left(call)
+            if backoff_left > 0:
+                return refuse("overloaded", retry_after=backoff_left)
             if failure is not None and failure.kind is FailureKind.REJECTED:
                 return refuse("overloaded")
             return refuse("no_endpoint" if failure is None else "endpoint_down")
@@ -226,9 +226,9 @@
         if metadata.leaving:
             self.replica.mark_leaving(endpoint.id)
         if metadata.retry_after_s is not None:
-            self.loads.pause(endpoint.id, now + metadata.retry_after_s)
+            self.loads.back_off(endpoint.id, now + metadata.retry_after_s)
             logger.info(
-                "endpoint paused",
+                "endpoint wants no requests",
                 extra={"endpoint": endpoint.id, "seconds": metadata.retry_after_s},
             )
 
--- a/packages/ebonyglade/src/ebonyglade/forward/endpoint_loads.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/endpoint_loads.py
@@ -23,11 +23,11 @@
     """Load and failures of one endpoint, as this entry sees them.
 
     Attributes:
-        paused_until: when it takes requests of this process again, as it stated.
+        backoff_until: when it takes requests of this process again, as it stated.
     """
 
     in_flight: int = 0
-    paused_until: float = float("-inf")
+    backoff_until: float = float("-inf")
     load: Load | None = None
     load_at: float = float("-inf")
     failure_rate: float = 0.0
@@ -73,21 +73,21 @@
         state.failure_rate = rate + FAILURE_WEIGHT * (float(failed) - rate)
         state.failure_rate_at = now
 
-    def pause(self, endpoint: str, until: float) -> None:
+    def back_off(self, endpoint: str, until: float) -> None:
         """Record that an endpoint wants no request of this process until a time."""
         state = self._state(endpoint)
-        state.paused_until = max(state.paused_until, until)
+        state.backoff_until = max(state.backoff_until, until)
 
-    def is_paused(self, endpoint: str, now: float) -> bool:
+    def in_backoff(self, endpoint: str, now: float) -> bool:
         """Return whether an endpoint wants no request of this process now."""
-        return self._state(endpoint).paused_until > now
+        return self._state(endpoint).backoff_until > now
 
-    def paused_for(self, endpoints: Iterable[str], now: float) -> float:
+    def backoff_left(self, endpoints: Iterable[str], now: float) -> float:
         """Return the seconds until the first of some endpoints takes requests.
 
         The result is zero if one of them takes requests now, or if there is none.
         """
-        until = [self._state(name).paused_until for name in endpoints]
+        until = [self._state(name).backoff_until for name in endpoints]
         return max(0.0, min(until, default=now) - now)
 
     def retain(self, endpoints: Iterable[str]) -> None:
@@ -107,12 +107,12 @@
     ) -> Endpoint | None:
         """Return the endpoint with the lowest cost of load, failures and zone.
 
-        An endpoint that is paused is not chosen even if there is no other one.
+        An endpoint in backoff is not chosen even if there is no other one.
         """
         usable = [
             item
             for item in endpoints
-            if item.id not in excluded and not self.is_paused(item.id, now)
+            if item.id not in excluded and not self.in_backoff(item.id, now)
         ]
         if not usable:
             return None
--- a/packages/ebonyglade/src/ebonyglade/forward/reserver.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/reserver.py
@@ -31,7 +31,7 @@
 RETRY_AFTER_S = 1.0  # sent to a caller whose request got no memory
 
 
-class _AllPaused(Exception):
+class _AllInBackoff(Exception):
     """No decode endpoint takes requests for longer than a request can wait.
 
     Attributes:
@@ -39,7 +39,7 @@
     """
 
     def __init__(self, seconds: float) -> None:
-        super().__init__(f"all decode endpoints are paused for {seconds:.3f} s")
+        super().__init__(f"all decode endpoints are in backoff for {seconds:.3f} s")
         self.seconds = seconds
 
 
@@ -87,8 +87,8 @@
         )
         try:
             return Ok(await self._wait_for_memory(call, excluded, give_up_at))
-        except _AllPaused as paused:
-            return Err(refuse("overloaded", retry_after=paused.seconds))
+        except _AllInBackoff as backoff:
+            return Err(refuse("overloaded", retry_after=backoff.seconds))
         except TimeoutError:
             return Err(self._refuse_after_wait(call))
 
@@ -99,7 +99,7 @@
 
         Raises:
             TimeoutError: there was none until `give_up_at`.
-            _AllPaused: no endpoint takes requests before `give_up_at`.
+            _AllInBackoff: no endpoint takes requests before `give_up_at`.
         """
         tokens = reservation_tokens(call.metadata.prompt, call.service)
         async with asyncio.timeout(max(0.0, give_up_at - self.attempts.clock())):
@@ -197,16 +197,16 @@
     ) -> MemoryReservation | None:
         attempts = self.attempts
         now = attempts.clock()
-        paused_for = attempts.paused_for(call, Stage.DECODE)
-        if now + paused_for > give_up_at:
-            raise _AllPaused(paused_for)
+        backoff_left = attempts.backoff_left(call, Stage.DECODE)
+        if now + backoff_left > give_up_at:
+            raise _AllInBackoff(backoff_left)
         listed = attempts.replica.registry.accepting(call.service.name, Stage.DECODE)
         ejected = attempts.loads.ejections.active(now)
         usable = [
             item
             for item in listed
             if item.id not in excluded | ejected
-            and not attempts.loads.is_paused(item.id, now)
+            and not attempts.loads.in_backoff(item.id, now)
         ]
         for endpoint in self.memory_estimates.by_free_memory(usable, attempts.clock()):
             reservation = await self._reserve_at(call, endpoint, tokens)
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -32,7 +32,7 @@
 NOT_RUN = AttemptFailure(FailureKind.REJECTED, "status 503")
 
 
-def paused(seconds):
+def rejected_with_backoff(seconds):
     """Return a rejection by an endpoint that wants no request for some time."""
     metadata = ResponseMetadata("id-1", False, True, retry_after_s=seconds)
     return AttemptFailure(FailureKind.REJECTED, "status 503", metadata)
@@ -132,12 +132,12 @@
     assert isinstance(reply, Err)
 
 
-def test_if_all_endpoints_are_paused_the_refusal_says_when_the_first_one_returns():
+def test_if_all_endpoints_are_in_backoff_the_refusal_says_when_the_first_one_returns():
     """Three workers turn a request away and say for how long they want none."""
 
     async def scenario():
         clock = asyncio.get_running_loop().time
-        port = Port([paused(7.0), paused(3.0), paused(5.0)])
+        port = Port([rejected_with_backoff(s) for s in (7.0, 3.0, 5.0)])
         names = ("a", "b", "c")
         attempts = attempt_sender(port, clock, *map(endpoint, names))
         dispatcher = PlainDispatcher(attempts)
@@ -160,16 +160,16 @@
     assert port.endpoint_ids[3] == port.endpoint_ids[1]
 
 
-def test_a_later_and_shorter_pause_does_not_end_a_longer_one():
+def test_a_later_and_shorter_backoff_does_not_end_a_longer_one():
     loads = EndpointLoads()
-    loads.pause("a", 9.0)
-    loads.pause("a", 4.0)
-    loads.pause("b", 6.0)
-    assert loads.is_paused("a", 8.9)
-    assert not loads.is_paused("a", 9.0)
-    assert loads.paused_for(["a", "b"], 5.0) == 1.0
-    assert loads.paused_for(["a", "b", "c"], 5.0) == 0.0
-    assert loads.paused_for([], 5.0) == 0.0
+    loads.back_off("a", 9.0)
+    loads.back_off("a", 4.0)
+    loads.back_off("b", 6.0)
+    assert loads.in_backoff("a", 8.9)
+    assert not loads.in_backoff("a", 9.0)
+    assert loads.backoff_left(["a", "b"], 5.0) == 1.0
+    assert loads.backoff_left(["a", "b", "c"], 5.0) == 0.0
+    assert loads.backoff_left([], 5.0) == 0.0
 
 
 def test_an_endpoint_that_says_that_it_leaves_gets_no_new_request():
@@ -265,7 +265,7 @@
     assert not port.sent
 
 
-def test_a_request_is_refused_at_once_if_all_decode_endpoints_are_paused_for_long():
+def test_a_request_is_refused_at_once_if_all_decode_endpoints_are_backoff_left_long():
     full = {
         ("d", "/hold"): (503, b"", {"retry-after": "9"}),
         ("e", "/hold"): (503, b"", {"retry-after": "8"}),
@@ -277,7 +277,7 @@
     assert len(port.controls) == 2
 
 
-def test_a_request_waits_for_an_endpoint_that_is_paused_briefly():
+def test_a_request_waits_for_an_endpoint_that_in_backoff_briefly():
     full = {
         ("d", "/hold"): (503, b"", {"retry-after": "0.5"}),
         ("e", "/hold"): (503, b"", {"retry-after": "60"}),
--- a/tests/forward/test_forwarding_path.py
+++ b/tests/forward/test_forwarding_path.py
@@ -283,7 +283,7 @@
         assert len(received(setup)) == 2
 
 
-async def test_a_worker_that_asks_for_a_pause_gets_no_requests_during_it():
+async def test_a_worker_that_asks_for_backoff_gets_no_requests_during_it():
     async with forwarding_setup() as setup:
         for name in ("plain-1", "plain-2"):
             setup.workers[name].failure = "not executed"
