Renew the mark of an endpoint that leaves with each of its answers

Found by a seeded test of replicas (tests/forward/test_store_eras.py): an endpoint whose first mark had ended but was still known was not marked again; one that was kept after an outage without a document could not be marked; one that was removed and listed again within 2 s was taken back.

--- a/packages/ebonyglade/src/ebonyglade/forward/leaving.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/leaving.py
@@ -41,16 +41,15 @@
     def add(
         self, endpoint: Endpoint, outdated: StoreVersion, now: float, observed: bool
     ) -> bool:
-        """Mark an endpoint.
+        """Mark an endpoint; what it states itself renews its mark.
 
         Returns:
-            False if the same process is marked already, or if another member passes
-            on a mark that has ended here.
+            False if another member passes on a mark that is known or has ended here.
         """
         known = self._marks.get(endpoint.id)
-        if known is not None and known.born_ms == endpoint.born_ms:
-            return False
-        if not observed and outdated <= self._ended.get(endpoint.id, NO_VERSION):
+        is_known = known is not None and known.born_ms == endpoint.born_ms
+        has_ended = outdated <= self._ended.get(endpoint.id, NO_VERSION)
+        if not observed and (is_known or has_ended):
             return False
         self._marks[endpoint.id] = LeavingMark(
             outdated, endpoint.born_ms, now, observed
@@ -89,7 +88,12 @@
         if mark is not None:
             self._ended[name] = mark.outdated
 
+    def expire(self, name: str, now: float) -> None:
+        """Forget an endpoint that is no longer listed, unless it was just marked."""
+        if now - self._marks[name].at >= CONFIRM_AFTER_S:
+            self.forget(name)
+
     def forget(self, name: str) -> None:
-        """Forget an endpoint that is no longer listed."""
+        """Forget what is known of an endpoint."""
         self._marks.pop(name, None)
         self._ended.pop(name, None)
--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -188,16 +188,20 @@
             observed: whether the endpoint told this process so itself.
         """
         endpoint = self.registry.endpoints.get(name)
-        document = self._documents.get(self.adapter.ENDPOINTS + name)
-        if endpoint is None or endpoint.leaving or document is None:
+        if endpoint is None:
             return
+        path = self.adapter.ENDPOINTS + name
+        listed = self._documents.get(path)
+        # Without a document it is kept only until it is listed again after an outage.
+        version = self.as_of if listed is None else listed.version
         now = self.clock()
-        outdated = document.version if outdated is None else outdated
+        outdated = version if outdated is None else outdated
         if not self.leaving.add(endpoint, outdated, now, observed):
             return
-        if self.leaving.applies(endpoint, document.version, now):
+        if not endpoint.leaving and self.leaving.applies(endpoint, version, now):
             self.registry.endpoints[name] = replace(endpoint, leaving=True)
-            self._record(document, Outcome.ACCEPTED, "leaving, as the endpoint states")
+            item = StoreDocument(path, None, version)
+            self._record(item, Outcome.ACCEPTED, "leaving, as the endpoint states")
 
     def refresh_endpoints(self, now: float) -> None:
         """Drop endpoints that were not listed again, and marks that no longer hold."""
@@ -254,7 +258,8 @@
     def _refresh_mark(self, name: str) -> None:
         document = self._documents.get(self.adapter.ENDPOINTS + name)
         if document is None:
-            self.leaving.forget(name)
+            if name not in self.registry.endpoints:
+                self.leaving.expire(name, self.clock())
             return
         endpoint = self._decode_endpoint(name, document)
         if endpoint is None:
@@ -371,7 +376,6 @@
 
     def _drop(self, name: str, reason: str, version: StoreVersion = NO_VERSION) -> None:
         dropped = self.registry.endpoints.pop(name, None)
-        self.leaving.forget(name)
         if dropped is not None:
             self._departed[name] = _Departed(dropped.born_ms, self.clock())
             item = StoreDocument(self.adapter.ENDPOINTS + name, None, version)
--- a/tests/forward/test_leaving.py
+++ b/tests/forward/test_leaving.py
@@ -57,6 +57,24 @@
     assert accepting(replica) == ["a"]
 
 
+def test_an_endpoint_that_says_again_that_it_leaves_is_not_taken_back():
+    """Its document changes while answers still say that it leaves.
+
+    It was listed again just before the next answer, when its first mark had ended but
+    was still known.
+    """
+    clock = Clock()
+    replica = replica_with(clock, endpoint("a"))
+    replica.mark_leaving("a")
+    clock.now += CONFIRM_AFTER_S
+    replica.apply([listed(endpoint("a", slots=9), 11)], at(11))
+    replica.mark_leaving("a")
+    assert accepting(replica) == []
+    clock.now += CONFIRM_AFTER_S
+    replica.refresh_endpoints(clock.now)
+    assert accepting(replica) == []
+
+
 def test_a_process_that_starts_under_the_same_id_is_used_at_once():
     replica = replica_with(Clock(), endpoint("a", born_ms=5))
     replica.mark_leaving("a")
--- a/tests/forward/test_store_eras.py
+++ b/tests/forward/test_store_eras.py
@@ -235,42 +235,127 @@
         ]
 
 
+class _Follower:
+    """A replica that reads a store, with answers that may arrive again later."""
+
+    def __init__(self, store, replica):
+        self.store, self.replica = store, replica
+        self.late, self.highest = [], 0
+
+    def read(self):
+        as_of = at(self.store.revision, self.store.era)
+        if self.replica.as_of.era == self.store.era:
+            changes = self.store.after(self.replica.as_of.revision), as_of
+            self.late.append(changes)
+            self.replica.apply(*changes)
+        else:
+            self.replica.replace(self.store.listing(), as_of)
+        self.replica.record_read(self.replica.clock())
+
+    def receive_late_answer(self):
+        if self.late:
+            documents, as_of = self.store.rng.choice(self.late[-20:])
+            self.replica.apply(documents, as_of)
+
+    def check(self):
+        """Check what must hold at any time."""
+        assert self.replica.configuration_version >= self.highest
+        self.highest = self.replica.configuration_version
+
+    def check_converged(self):
+        """Check that the replica lists what the store lists."""
+        names = {item.path.removeprefix("endpoints/") for item in self.store.listing()}
+        assert set(self.replica.registry.endpoints) == names - {"configuration"}
+        assert self.replica.as_of == at(self.store.revision, self.store.era)
+
+
+def follow_store(seed, steps):
+    """Run a seeded sequence of changes, copies, returns, marks and late answers."""
+    rng = random.Random(seed)
+    store, clock = _Store(rng), Clock()
+    follower = _Follower(store, store_replica(clock))
+    replica = follower.replica
+    marked = {}
+    actions = ("change", "change", "copy", "restore", "read", "late", "mark", "tick")
+    for _ in range(steps):
+        clock.now += 0.05
+        action = rng.choice(actions)
+        if action == "change":
+            store.change()
+        elif action == "copy":
+            store.copy()
+        elif action == "restore" and store.copies:
+            store.restore()
+        elif action == "late":
+            follower.receive_late_answer()
+        elif action == "read":
+            follower.read()
+        elif action == "mark" and replica.registry.endpoints:
+            name = rng.choice(sorted(replica.registry.endpoints))
+            replica.mark_leaving(name)
+            marked[name] = clock.now
+        elif action == "tick":
+            replica.refresh_endpoints(clock.now)
+        follower.check()
+        for item in replica.registry.accepting("desk"):
+            # It says so with each of its answers, so that the last mark counts.
+            assert clock.now - marked.get(item.id, 0.0) >= CONFIRM_AFTER_S - 0.01 or (
+                item.id not in marked
+            )
+    follower.read()
+    clock.now += RELIST_GRACE_S
+    replica.refresh_endpoints(clock.now)
+    follower.check_converged()
+
+
 def test_replicas_follow_any_sequence_of_changes_copies_and_returns():
-    """Seeded: answers arrive late, and a configuration never goes back."""
     for seed in range(200):
+        follow_store(seed, 150)
+
+
+def follow_as_a_fleet(seed, seconds=12.0):
+    """Let members read a store at random while some are cut off from it or others."""
+
+    async def scenario():
         rng = random.Random(seed)
-        store, clock = _Store(rng), Clock()
-        replica = store_replica(clock)
-        late, highest = [], 0
-        for _ in range(150):
-            clock.now += 0.05
-            action = rng.choice(("change", "change", "copy", "restore", "read", "late"))
-            if action == "change":
-                store.change()
-            elif action == "copy":
+        network, nodes = member_fleet(5)
+        store = _Store(rng)
+        followers = [_Follower(store, node.replica) for node in nodes.values()]
+        names = list(nodes)
+        await asyncio.sleep(1)
+        turned_away = set()
+        for _ in range(round(seconds / 0.1)):
+            await asyncio.sleep(0.1)
+            store.change()
+            if rng.random() < 0.2:
                 store.copy()
-            elif action == "restore" and store.copies:
+            if rng.random() < 0.05 and store.copies:
                 store.restore()
-            elif action == "late" and late:
-                documents, as_of = rng.choice(late)
-                replica.apply(documents, as_of)
-            elif action == "read":
-                as_of = at(store.revision, store.era)
-                if replica.as_of.era == store.era:
-                    changes = store.after(replica.as_of.revision), as_of
-                    late.append(changes)
-                    replica.apply(*changes)
-                else:
-                    replica.replace(store.listing(), as_of)
-            assert replica.configuration_version >= highest, seed
-            highest = replica.configuration_version
-        clock.now += RELIST_GRACE_S
-        as_of = at(store.revision, store.era)
-        if replica.as_of.era == store.era:
-            replica.apply(store.after(replica.as_of.revision), as_of)
-        else:
-            replica.replace(store.listing(), as_of)
-        clock.now += RELIST_GRACE_S
-        replica.refresh_endpoints(clock.now)
-        names = {item.path.removeprefix("endpoints/") for item in store.listing()}
-        assert set(replica.registry.endpoints) == names - {"configuration"}, seed
+            if rng.random() < 0.1:
+                turned_away = set(rng.sample(range(5), 3))
+            if rng.random() < 0.1:
+                network.faults.partitioned = {
+                    frozenset((here, there))
+                    for here in names[:2]
+                    for there in names[2:]
+                }
+            if rng.random() < 0.1:
+                network.faults.partitioned = set()
+            for number, follower in enumerate(followers):
+                if number not in turned_away and rng.random() < 0.5:
+                    follower.read()
+                follower.replica.refresh_endpoints(follower.replica.clock())
+                follower.check()
+        network.faults.partitioned = set()
+        followers[0].read()
+        await asyncio.sleep(2 * RELIST_GRACE_S)
+        for follower in followers:
+            follower.replica.refresh_endpoints(follower.replica.clock())
+            follower.check_converged()
+
+    run(scenario())
+
+
+def test_members_that_are_cut_off_converge_on_the_newest_era():
+    for seed in range(20):
+        follow_as_a_fleet(seed)
