--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -26,7 +26,8 @@
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store_replica import StoreReplica, log_store_change
 from ebonyglade.forward.types import Load, Stage, Workspace
-from ebonyglade.forward.zone_exchange import RECENT_TOTALS_S, ZoneExchange
+from ebonyglade.forward.zone_exchange import ZoneExchange
+from ebonyglade.forward.zone_reports import RECENT_TOTALS_S
 from ebonyglade.ports import Sender
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.fleet import EngineState, FleetHeartbeat, RefusalNotice, ZoneReport
--- a/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
@@ -12,12 +12,11 @@
 import msgspec
 
 from ebonyglade.context import Context
-from ebonyglade.forward.members import (
-    FORGET_AFTER_S,
-    REPORTERS_PER_ZONE,
-    FleetMembers,
-    Member,
-    OtherZones,
+from ebonyglade.forward.members import REPORTERS_PER_ZONE, FleetMembers, Member
+from ebonyglade.forward.zone_reports import (
+    RECENT_TOTALS_S,
+    ZoneReportTable,
+    has_all_totals,
 )
 from ebonyglade.forward.zone_totals import ZoneTotals
 from ebonyglade.ports import Sender
@@ -35,17 +34,9 @@
 TICK_S = 0.05  # between two checks for what is to be reported
 MIN_PARTIAL_INTERVAL_S = 0.02  # between two reports of totals that changed
 REPORT_INTERVAL_S = 0.3  # between two full reports
-# Full reports have the totals of all workspaces. With more workspaces than this, only
-# one in `COMPLETE_EVERY` does, and the others have the totals that changed lately.
-MAX_ALWAYS_COMPLETE = 64
-COMPLETE_EVERY = 10
-RECENT_TOTALS_S = 3.0  # totals that changed within this time are repeated
 ENGINE_MAX_AGE_S = 2.0  # engine states that are older are not reported
-REPORT_MAX_AGE_S = 2.0  # reports that are older are not passed on
 # A process that has just started does not know the members of its zone yet.
 SETTLE_S = 1.0
-# A report that was passed on twice seems newer by the difference of the two delays.
-MIN_NEWER_S = 0.05
 LISTED_REPORTERS = REPORTERS_PER_ZONE + 1
 
 ReportListener = Callable[[ZoneReport, float], None]
@@ -60,42 +51,6 @@
     at: float
 
 
-@dataclass(slots=True)
-class _KnownReport:
-    """What one reporter of another zone has reported.
-
-    Attributes:
-        report: its newest full report.
-        at: time that the report is of.
-        number: number of its newest report, full or partial.
-        totals: all totals that it reported.
-        complete: whether these are all of its totals.
-        changed_at: when each total changed.
-    """
-
-    report: ZoneReport
-    at: float
-    number: int = 0
-    totals: dict[str, float] = field(default_factory=dict)
-    complete: bool = False
-    changed_at: dict[str, float] = field(default_factory=dict)
-
-    def update_totals(self, report: ZoneReport, now: float) -> None:
-        self.number = report.number
-        self.complete = self.complete or report.complete
-        for name, total in report.spent.items():
-            if self.totals.get(name) != total:
-                self.totals[name] = total
-                self.changed_at[name] = now
-
-    def recent_totals(self, now: float) -> dict[str, float]:
-        return {
-            name: self.totals[name]
-            for name, at in self.changed_at.items()
-            if now - at < RECENT_TOTALS_S
-        }
-
-
 @dataclass(slots=True)
 class ZoneExchange:
     """Reports for the own zone, and passes on the reports of other zones.
@@ -117,12 +72,11 @@
     _crashes: dict[str, dict[str, int]] = field(default_factory=dict)
     _leaving: dict[str, list[LeavingRecord]] = field(default_factory=dict)
     _engines: dict[str, _KnownEngine] = field(default_factory=dict)
-    _reports: dict[str, dict[str, _KnownReport]] = field(default_factory=dict)
+    _reports: ZoneReportTable = field(default_factory=ZoneReportTable)
     _started_at: float = 0.0
     _next_report_at: float = 0.0
     _number: int = 0
     _full_reports: int = 0
-    _rounds: int = 0
     _changed_since: float | None = None
     _partial_at: float = 0.0
 
@@ -184,13 +138,13 @@
         if full:
             self._next_report_at = now + REPORT_INTERVAL_S
             self._forget(now)
-            self._update_other_zones()
+            self.members.other_zones = self._reports.other_zones()
         settled = now - self._started_at >= SETTLE_S
         if not settled or not self.members.is_reporter(now):
             return
         if full:
             self._send_to_reporters(self._full_report(now), now)
-            self._send_to_zone(self._reports_to_pass_on(now), now)
+            self._send_to_zone(self._reports.to_pass_on(now), now)
             self._changed_since = None
         self._report_changes(now)
 
@@ -220,16 +174,10 @@
 
     def _full_report(self, now: float) -> ZoneReport:
         members = self.members.zone_members(now)
-        self._number += 1
         self._full_reports += 1
-        complete = _is_complete(self._full_reports, self._totals.sums)
+        complete = has_all_totals(self._full_reports, self._totals.sums)
         recent = self._totals.changed_since(now - RECENT_TOTALS_S)
-        return ZoneReport(
-            zone=self.members.zone,
-            reporter=self.members.address,
-            incarnation=self.context.identity.incarnation,
-            number=self._number,
-            age_s=0.0,
+        return self._new_report(
             members=1 + len(members),
             entries=self._count_entries(members),
             reporters=self.members.zone_reporters(now)[:LISTED_REPORTERS],
@@ -241,6 +189,10 @@
         )
 
     def _partial_report(self) -> ZoneReport:
+        changed = self._totals.changed_since(self._changed_since)
+        return self._new_report(spent=changed, partial=True)
+
+    def _new_report(self, **fields: object) -> ZoneReport:
         self._number += 1
         return ZoneReport(
             zone=self.members.zone,
@@ -248,8 +200,7 @@
             incarnation=self.context.identity.incarnation,
             number=self._number,
             age_s=0.0,
-            spent=self._totals.changed_since(self._changed_since),
-            partial=True,
+            **fields,
         )
 
     def _count_entries(self, members: list[Member]) -> int:
@@ -280,28 +231,6 @@
             records.update({record.endpoint: record for record in reported})
         return list(records.values())
 
-    def _reports_to_pass_on(self, now: float) -> list[ZoneReport]:
-        """Return what is known of each other zone."""
-        self._rounds += 1
-        found = []
-        for by_reporter in self._reports.values():
-            known = max(by_reporter.values(), key=lambda item: item.at)
-            age_s = now - known.at
-            if age_s >= REPORT_MAX_AGE_S:
-                continue
-            complete = known.complete and _is_complete(self._rounds, known.totals)
-            spent = known.totals if complete else known.recent_totals(now)
-            found.append(
-                msgspec.structs.replace(
-                    known.report,
-                    number=known.number,
-                    age_s=age_s,
-                    spent=spent,
-                    complete=complete,
-                )
-            )
-        return found
-
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         if member.zone == self.members.zone and member.zoned:
             self._record(member.address, member.incarnation, heartbeat)
@@ -326,21 +255,11 @@
 
     def _take(self, report: ZoneReport, now: float) -> None:
         """Apply a report of another zone unless it is known already."""
-        by_reporter = self._reports.setdefault(report.zone, {})
-        key = f"{report.reporter} {report.incarnation}"
-        known = by_reporter.get(key)
         at = now - report.age_s
-        if known is not None and not _is_news(report, at, known):
-            return
-        if not report.partial:
-            if known is None:
-                known = by_reporter[key] = _KnownReport(report, at)
-            known.report, known.at = report, max(known.at, at)
-            for address in report.reporters:
-                self.members.introduce(address, report.zone)
-        if known is None:
+        if not self._reports.add(report, at, now):
             return
-        known.update_totals(report, now)
+        for address in report.reporters:
+            self.members.introduce(address, report.zone)
         if self.members.divided:
             for listener in self.listeners:
                 listener(report, at)
@@ -354,25 +273,8 @@
         for known in (self._crashes, self._leaving, self._engines):
             known.pop(member.address, None)
 
-    def _update_other_zones(self) -> None:
-        """Update what the members know of other zones from the newest reports."""
-        newest = [
-            max(by_reporter.values(), key=lambda item: item.at).report
-            for by_reporter in self._reports.values()
-        ]
-        self.members.other_zones = OtherZones(
-            {report.zone: report.reporters for report in newest if report.reporters},
-            sum(report.members for report in newest),
-            sum(report.entries for report in newest),
-        )
-
     def _forget(self, now: float) -> None:
-        for zone, by_reporter in list(self._reports.items()):
-            for key, known in list(by_reporter.items()):
-                if now - known.at > FORGET_AFTER_S:
-                    del by_reporter[key]
-            if not by_reporter:
-                del self._reports[zone]
+        self._reports.forget(now)
         names = {item.address for item in self.members.all()} | {self.members.address}
         self._totals.retain(names)
         for by_address in (self._crashes, self._leaving, self._engines):
@@ -380,19 +282,6 @@
                 del by_address[address]
 
 
-def _is_complete(number: int, totals: dict[str, float]) -> bool:
-    """Return whether the report with a number has the totals of all workspaces."""
-    return len(totals) <= MAX_ALWAYS_COMPLETE or number % COMPLETE_EVERY == 1
-
-
-def _is_news(report: ZoneReport, at: float, known: _KnownReport) -> bool:
-    """Return whether a report says something that is not known already."""
-    if report.partial:
-        return report.number > known.number
-    newly_complete = report.complete and not known.complete
-    return newly_complete or at > known.at + MIN_NEWER_S
-
-
 def _set_or_drop(known: dict, key: str, value: object) -> None:
     """Set a value, or drop the key if the value is empty."""
     if value:
