--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/commands.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/commands.py
@@ -8,6 +8,7 @@
     configuration,
     fairness,
     idle,
+    large_fleets,
     limits,
     memory,
     once,
@@ -142,6 +143,15 @@
         """
         _print_and_record(idle.run(seconds), "idle", record)
 
+    def large_fleets(self, record: bool = True) -> None:
+        """Measure what idle forwarding entries send, by size of the fleet.
+
+        Args:
+            record: write docs/measurements/large-fleets.md.
+        """
+        _disable_logs()
+        _print_and_record(large_fleets.measure(), "large-fleets", record)
+
     def capacity(self) -> None:
         """Measure slopes and write docs/CAPACITY.md."""
         _disable_logs()
