Bound what is kept of reporters that restart and of marks that have ended

Cause, found by reading: each restart of a zone's reporter left its offsets for good, and an endpoint that was taken back left its old mark. Tests of both failed before; those of zones with two reporters, of a takeover and of a silent zone are new beside them.

--- a/packages/ebonyglade/src/ebonyglade/forward/leaving.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/leaving.py
@@ -5,6 +5,7 @@
 such an endpoint with the version of the document that is known to be out of date.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from ebonyglade.forward.types import NO_VERSION, Endpoint, StoreVersion
@@ -93,6 +94,11 @@
         if now - self._marks[name].at >= CONFIRM_AFTER_S:
             self.forget(name)
 
+    def retain(self, listed: Collection[str]) -> None:
+        """Forget which marks have ended, of all endpoints that are not listed."""
+        for name in [name for name in self._ended if name not in listed]:
+            del self._ended[name]
+
     def forget(self, name: str) -> None:
         """Forget what is known of an endpoint."""
         self._marks.pop(name, None)
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -32,6 +32,9 @@
 # After this time without a response the levels are not requested any more: a bucket
 # that was kept this long is right whatever its initial level was.
 LEVELS_WAIT_S = 10.0
+# Reporters of a zone whose offsets are kept. Two report at a time, and each restart of
+# one counts as another.
+MAX_REPORTERS = 8
 # Shares of the published overage and slack that the bucket uses. The rest covers
 # what entries admit between two heartbeats.
 USED_OVERAGE_SHARE = 0.95
@@ -298,6 +301,8 @@
             if not complete:
                 return
             offsets = other.offsets[reporter] = dict(other.spent)
+            while len(other.offsets) > MAX_REPORTERS:
+                del other.offsets[next(iter(other.offsets))]
             for workspace, total in spent.items():
                 offsets[workspace] = other.spent.get(workspace, 0.0) - total
         for workspace, total in spent.items():
--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -210,6 +210,7 @@
             self._drop(name, "not listed again after a store outage")
         for name in self.leaving.names():
             self._refresh_mark(name)
+        self.leaving.retain(self.registry.endpoints)
         for name, departed in list(self._departed.items()):
             if now - departed.at > DEPARTED_TTL_S:
                 del self._departed[name]
--- a/tests/forward/test_leaving.py
+++ b/tests/forward/test_leaving.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from ebonyglade.forward.leaving import CONFIRM_AFTER_S
+from ebonyglade.forward.leaving import CONFIRM_AFTER_S, LeavingMarks
+from ebonyglade.forward.store_replica import DEPARTED_TTL_S
 from ebonyglade_lab.virtual.loop import run
 from helpers.forwarding import Clock, at, endpoint, listed, removed, store_replica
 from helpers.members import member_fleet
@@ -117,3 +118,22 @@
     left, back = run(scenario())
     assert left == [[], [], [], []]
     assert back == [["a"], ["a"], ["a"], ["a"]]
+
+
+def test_endpoints_that_come_and_go_take_no_memory():
+    clock = Clock()
+    replica = store_replica(clock)
+    for number in range(50):
+        revision = 10 * number + 2
+        name = f"a{number}"
+        replica.apply([listed(endpoint(name), revision)], at(revision))
+        replica.mark_leaving(name)
+        again = listed(endpoint(name, slots=9), revision + 1)
+        replica.apply([again], at(revision + 1))
+        clock.now += CONFIRM_AFTER_S
+        replica.refresh_endpoints(clock.now)
+        replica.apply([removed(name, revision + 2)], at(revision + 2))
+    clock.now += DEPARTED_TTL_S + 1
+    replica.refresh_endpoints(clock.now)
+    assert replica.leaving == LeavingMarks()
+    assert replica._departed == {}
--- a/tests/forward/test_rates.py
+++ b/tests/forward/test_rates.py
@@ -5,6 +5,7 @@
 
 from ebonyglade.forward.rates import (
     LEVELS_WAIT_S,
+    MAX_REPORTERS,
     SILENT_AFTER_S,
     FleetRates,
     RateTolerance,
@@ -184,3 +185,43 @@
     here.apply_totals("1", "i", {"w": 900.0}, 0.0)
     assert here.take(SPACE, 1000.0, 0.0) == 0.0
     assert here.take(SPACE, 10.0, 0.0) > 0
+
+
+def test_a_zone_with_two_reporters_is_charged_once():
+    """Both count the same tokens, from different starts."""
+    here = FleetRates(FRESH)
+    here.apply_zone("a", "r1", {"w": 500.0}, 0.0, True, 0.0, entries=5)
+    here.take(SPACE, 100.0, 0.0)
+    here.apply_zone("a", "r2", {}, 0.0, True, 0.0, entries=5)
+    for total in (300.0, 600.0, 900.0):
+        here.apply_zone("a", "r1", {"w": 500.0 + total}, 0.0, False, 0.0)
+        here.apply_zone("a", "r2", {"w": total}, 0.0, False, 0.0)
+    assert here.take(SPACE, 1000.0, 0.0) == 0.0
+    assert here.take(SPACE, 10.0, 0.0) > 0
+
+
+def test_the_totals_of_a_reporter_that_takes_over_continue():
+    here = FleetRates(FRESH, 0.0, {"w": SPACE}.get)
+    here.apply_zone("a", "r1", {"w": 0.0}, 0.0, True, 0.0, entries=5)
+    here.apply_zone("a", "r1", {"w": 800.0}, 0.0, True, 0.0)
+    here.apply_zone("a", "r2", {"w": 50.0}, 0.0, True, 0.0)
+    here.apply_zone("a", "r2", {"w": 250.0}, 0.0, True, 0.0)
+    here.apply_zone("a", "r1", {"w": 900.0}, 0.0, True, 0.0)
+    assert here.take(SPACE, 1000.0, 0.0) == 0.0
+    assert here.take(SPACE, 10.0, 0.0) > 0
+
+
+def test_reporters_that_restart_again_and_again_take_no_memory():
+    here = FleetRates(FRESH)
+    for number in range(1000):
+        here.apply_zone("a", f"r{number}", {"w": 1.0}, 0.0, True, 0.0)
+    assert len(here._others["zone a"].offsets) <= MAX_REPORTERS
+
+
+def test_a_silent_zone_counts_as_spending_the_shares_of_its_entries():
+    here = FleetRates(FRESH)
+    here.apply_zone("a", "r1", {"w": 0.0}, 0.0, True, 0.0, entries=3)
+    here.take(SPACE, 2000.0, 0.0)
+    # Three of four entries are silent, so that a quarter of the rate is left.
+    assert here.take(SPACE, 1000.0, 4.0) == 0.0
+    assert here.take(SPACE, 100.0, 4.0) > 0
