--- a/tests/test_retry_world.py
+++ b/tests/test_retry_world.py
@@ -44,16 +44,23 @@
 
 
 async def _crash_then_unreachable(world):
-    """Make one decode engine crash at its first token while the other is down."""
-    take_down(world, ["decode-0"])
-    engine = world.engines["decode-1"]
-
-    def die(job, text):
-        engine.down = True
-        raise endpoints.EngineError("connection lost", may_have_run=True, lost=True)
-
-    engine.start = die
-    return await world.call("entry-0", prompt(world, 1))
+    """Make the first decode engine crash as it starts, and the others unreachable."""
+    decoders = [world.engines["decode-0"], world.engines["decode-1"]]
+    failures = []
+
+    def die(job, prompt, pieces, stage):
+        if failures:
+            failures.append("refused")
+            raise endpoints.EngineError("refused", may_have_run=False, lost=True)
+        failures.append("lost")
+        raise endpoints.EngineError("lost", may_have_run=True, lost=True)
+
+    for engine in decoders:
+        engine.start = die
+    outcome = await world.call("entry-0", prompt(world, 1))
+    assert failures[0] == "lost"
+    assert "refused" in failures
+    return outcome
 
 
 @pytest.fixture
