Let a silent entry count as spending its share of what is left of a burst

Each machine counted the silent ones with their shares of the rate, but spent the level that all of them had seen before; other zones did not count them at all once their reporter no longer heard them. Ruled out: double counting of reporters.

--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -208,6 +208,14 @@
             item for item in self.live(now) if item.zoned and item.zone == self.zone
         ]
 
+    def silent_entries(self, now: float) -> int:
+        """Return the number of entries of the own zone that fell silent."""
+        live = {item.address for item in self.live(now)}
+        return sum(
+            item.entry and item.zone == self.zone and item.address not in live
+            for item in self.all()
+        )
+
     def zone_reporters(self, now: float) -> list[str]:
         """Return the addresses of the own zone's members, in the order of reporting."""
         capacities = {item.address: item.capacity for item in self.zone_members(now)}
--- a/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
@@ -5,7 +5,7 @@
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member
-from ebonyglade.forward.rates import FleetRates, zone_key
+from ebonyglade.forward.rates import FleetRates, silent_key, zone_key
 from ebonyglade.forward.types import Workspace
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
@@ -64,7 +64,9 @@
         """Forget the entries and zones that no longer speak for themselves."""
         kept = {item.address for item in self.members.direct()}
         if self.members.divided:
-            kept |= {zone_key(zone) for zone in self.members.other_zones.reporters}
+            zones = self.members.other_zones.reporters
+            kept |= {zone_key(zone) for zone in zones}
+            kept |= {silent_key(zone) for zone in zones}
         self.rates.retain_entries(kept)
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
@@ -90,6 +92,7 @@
             report.complete,
             at,
             None if report.partial else report.entries,
+            report.silent,
         )
 
     def _on_member_gone(self, member: Member) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -13,8 +13,9 @@
 
 An entry that fell silent may have ended, or may still serve on the other side of a
 network partition. Until it is forgotten or known to have ended, it counts as
-spending an equal share of the rate. Thus the two sides of a partition together
-admit no more than the whole fleet may.
+spending an equal share of the rate and of the tokens that were left when it fell
+silent. Thus the two sides of a partition together admit no more than the whole fleet
+may, but for what they admit until they notice the silence.
 """
 
 from collections.abc import Callable
@@ -92,6 +93,8 @@
         spent: tokens that it admitted since its start, by workspace.
         last_heard: when it last reported.
         assumed_spent: tokens that it is assumed to have spent since, by workspace.
+        assumed_level: part of these that it may have spent of the bucket's level.
+        assumed_entries: number of entries for which that part counts.
         entries: number of entries that it stands for; more than one for a zone.
         offsets: for a zone, what to add to the totals of each of its reporters, since
             each counts from its own start.
@@ -101,6 +104,8 @@
     spent: dict[str, float]
     last_heard: float
     assumed_spent: dict[str, float] = field(default_factory=dict)
+    assumed_level: dict[str, float] = field(default_factory=dict)
+    assumed_entries: dict[str, int] = field(default_factory=dict)
     entries: int = 1
     offsets: dict[str, dict[str, float]] = field(default_factory=dict)
 
@@ -109,6 +114,11 @@
     return None
 
 
+def silent_key(zone: str) -> str:
+    """Return the name under which the silent entries of a zone are kept."""
+    return f"silent in zone {zone}"
+
+
 def zone_key(zone: str) -> str:
     """Return the name under which the totals of a zone are kept."""
     return f"zone {zone}"
@@ -261,7 +271,7 @@
             self._charge_total(other, name, total, now)
         other.last_heard = now
         if complete:
-            other.assumed_spent.clear()
+            self._refund_assumed(other)
 
     def apply_zone(
         self,
@@ -272,6 +282,7 @@
         complete: bool,
         at: float,
         entries: int | None = None,
+        silent: int = 0,
     ) -> None:
         """Apply the totals of all entries of another zone.
 
@@ -286,7 +297,9 @@
             now: seconds.
             complete: whether these are all totals, or those that changed lately.
             at: time that the totals are of; not later than `now`.
-            entries: number of entries of the zone; None if not stated.
+            entries: number of entries of the zone that its reporter hears; None if
+                not stated.
+            silent: number of those that it does not hear and that may still serve.
         """
         name = zone_key(zone)
         other = self._others.get(name)
@@ -296,6 +309,7 @@
             other = self._others[name] = _OtherEntry("", {}, at)
         if entries is not None:
             other.entries = entries
+            self._set_silent(zone, silent)
         offsets = other.offsets.get(reporter)
         if offsets is None:
             if not complete:
@@ -311,7 +325,7 @@
             self._charge_total(other, workspace, counted, now)
         other.last_heard = max(other.last_heard, at)
         if complete:
-            other.assumed_spent.clear()
+            self._refund_assumed(other)
 
     def apply_early_total(
         self,
@@ -327,14 +341,36 @@
             self._charge_total(other, workspace, total, now)
 
     def remove_entry(self, entry: str) -> None:
-        """Forget an entry that ended."""
-        self._others.pop(entry, None)
+        """Forget an entry that ended; it no longer spends its part of the level."""
+        other = self._others.pop(entry, None)
+        if other is not None:
+            for name, part in other.assumed_level.items():
+                self._buckets[name].level += part
 
     def retain_entries(self, entries: set[str]) -> None:
         """Forget all other entries that are not among `entries`."""
         for entry in set(self._others) - entries:
             del self._others[entry]
 
+    def _set_silent(self, zone: str, silent: int) -> None:
+        """Set how many entries of a zone count as silent although the zone is heard."""
+        name = silent_key(zone)
+        if silent == 0:
+            self.remove_entry(name)
+            return
+        other = self._others.get(name)
+        if other is None:
+            self._others[name] = _OtherEntry("", {}, float("-inf"), entries=silent)
+            return
+        kept = min(1.0, silent / other.entries)
+        for workspace, part in other.assumed_level.items():
+            returned = (1.0 - kept) * part
+            self._buckets[workspace].level += returned
+            other.assumed_level[workspace] = part - returned
+            counted = other.assumed_entries[workspace]
+            other.assumed_entries[workspace] = min(counted, silent)
+        other.entries = silent
+
     def _charge_total(
         self, other: _OtherEntry, name: str, total: float, now: float
     ) -> None:
@@ -349,6 +385,16 @@
         if bucket is not None:
             # What the entry was assumed to spend during its silence is already charged.
             bucket.level -= increase - other.assumed_spent.pop(name, 0.0)
+            other.assumed_level.pop(name, None)
+            other.assumed_entries.pop(name, None)
+
+    def _refund_assumed(self, other: _OtherEntry) -> None:
+        """Return what an entry was assumed to spend of workspaces that it did not."""
+        for name, assumed in other.assumed_spent.items():
+            self._buckets[name].level += assumed
+        other.assumed_spent.clear()
+        other.assumed_level.clear()
+        other.assumed_entries.clear()
 
     def _charge(self, name: str, cost: float, now: float) -> None:
         self._buckets[name].level -= cost
@@ -373,13 +419,38 @@
         elapsed = max(0.0, now - bucket.at)
         bucket.at = now
         entries = 1 + sum(other.entries for other in self._others.values())
-        equal_share = rate / entries
+        left = max(0.0, bucket.level)
         bucket.level += rate * elapsed
+        level_parts = 0.0
         for other in self._others.values():
             if now - other.last_heard > SILENT_AFTER_S:
-                assumed_cost = equal_share * other.entries * elapsed
-                bucket.level -= assumed_cost
-                known = other.assumed_spent.get(workspace.name, 0.0)
-                other.assumed_spent[workspace.name] = known + assumed_cost
-        bucket.level = min(bucket.level, burst)
+                rate_part = rate * elapsed * other.entries / entries
+                bucket.level -= rate_part
+                level_parts += self._assume_spent(
+                    other, workspace.name, rate_part, left / entries
+                )
+        bucket.level = min(bucket.level, burst) - level_parts
         return bucket
+
+    def _assume_spent(
+        self, other: _OtherEntry, name: str, rate_part: float, level_part: float
+    ) -> float:
+        """Record what a silent entry, or several, may spend of a workspace's tokens.
+
+        Args:
+            other: the silent entry or entries.
+            name: the workspace.
+            rate_part: their share of the tokens that were added since the last time.
+            level_part: share of each in the tokens that were left then; it counts
+                once for each silence of an entry.
+
+        Returns:
+            The part of the level that counts now.
+        """
+        counted = other.assumed_entries.get(name, 0)
+        spent = max(0, other.entries - counted) * level_part
+        other.assumed_entries[name] = max(counted, other.entries)
+        other.assumed_level[name] = other.assumed_level.get(name, 0.0) + spent
+        assumed = other.assumed_spent.get(name, 0.0)
+        other.assumed_spent[name] = assumed + rate_part + spent
+        return spent
--- a/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
@@ -179,7 +179,8 @@
         recent = self._totals.changed_since(now - RECENT_TOTALS_S)
         return self._new_report(
             members=1 + len(members),
-            entries=self._count_entries(members),
+            entries=int(self.entry) + sum(item.entry for item in members),
+            silent=self.members.silent_entries(now),
             reporters=self.members.zone_reporters(now)[:LISTED_REPORTERS],
             spent=dict(self._totals.sums) if complete else recent,
             engines=self._fresh_engines(now),
@@ -203,9 +204,6 @@
             **fields,
         )
 
-    def _count_entries(self, members: list[Member]) -> int:
-        return int(self.entry) + sum(item.entry for item in members)
-
     def _fresh_engines(self, now: float) -> list[EngineRecord]:
         return [
             EngineRecord(
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -140,6 +140,8 @@
         age_s: seconds since the report was made.
         members: number of members of the zone.
         entries: number of entries among them.
+        silent: number of further entries of the zone that the reporter does not hear
+            and that may still serve callers.
         reporters: addresses of the members that report for the zone, the first one
             and those that replace it.
         spent: tokens that the entries of the zone admitted since the reporter's
@@ -166,6 +168,7 @@
     crashes: dict[str, int] = {}
     leaving: list[LeavingRecord] = []
     complete: bool = False
+    silent: int = 0
 
 
 class ZoneReports(Message):
--- a/tests/forward/test_rates.py
+++ b/tests/forward/test_rates.py
@@ -225,3 +225,36 @@
     # Three of four entries are silent, so that a quarter of the rate is left.
     assert here.take(SPACE, 1000.0, 4.0) == 0.0
     assert here.take(SPACE, 100.0, 4.0) > 0
+
+
+def test_entries_that_are_cut_off_do_not_spend_the_same_burst_again():
+    """A third of the entries is cut off while a workspace begins to send much."""
+    fleet = entries(12)
+    exchange_totals(fleet, 0.0)
+
+    def apart(source, target):
+        # Each of the first four is cut off by itself.
+        return source >= 4 and target >= 4
+
+    # Nothing is sent until the silence is noticed.
+    admitted = flood(fleet, 8.0, apart, start=SILENT_AFTER_S + 0.1)
+    assert most_in(admitted, 8.0) <= 8.0 * 1000 + 2000 + 11 * 100
+    assert sum(cost for _, cost in admitted) >= 0.8 * (8.0 * 1000 + 2000)
+
+
+def test_the_part_of_the_burst_returns_when_a_silent_entry_is_heard_again():
+    here = FleetRates(FRESH, 0.0, {"w": SPACE}.get)
+    here.apply_totals("1", "i", {}, 0.0)
+    assert here.take(SPACE, 0.0, 0.0) == 0.0
+    assert here.take(SPACE, 1500.0, 1.5) > 0
+    here.apply_totals("1", "i", {}, 1.6)
+    assert here.take(SPACE, 2000.0, 1.6) == 0.0
+
+
+def test_the_part_of_the_burst_returns_when_a_silent_entry_has_restarted():
+    here = FleetRates(FRESH, 0.0, {"w": SPACE}.get)
+    here.apply_totals("1", "i", {}, 0.0)
+    assert here.take(SPACE, 0.0, 0.0) == 0.0
+    assert here.take(SPACE, 1500.0, 1.5) > 0
+    here.remove_entry("1")
+    assert here.take(SPACE, 1900.0, 1.6) == 0.0
--- a/tests/forward/test_zones.py
+++ b/tests/forward/test_zones.py
@@ -215,19 +215,24 @@
     return (window * rate + burst) * (1 + GRANTED.overage) + GRANTED.slack
 
 
-async def flood(entries, seconds, every=0.05, per_step=4):
+FLOOD_STEP_S = 0.05
+FLOOD_REQUESTS_PER_STEP = 4
+FLOOD_PER_S = FLOOD_REQUESTS_PER_STEP * COST / FLOOD_STEP_S  # tokens that are requested
+
+
+async def flood(entries, seconds):
     """Request tokens at random entries; return time and cost of those admitted."""
     rng = random.Random(7)
     admitted = []
     end = entries[0].now + seconds
     while entries[0].now < end:
-        for entry in rng.sample(entries, per_step):
+        for entry in rng.sample(entries, FLOOD_REQUESTS_PER_STEP):
             if entry.process.killed:
                 continue
             if entry.core.rates.take(WORKSPACE, COST, entry.now) == 0.0:
                 entry.core.rate_exchange.announce_spending(WORKSPACE, COST)
                 admitted.append((entry.now, COST))
-        await asyncio.sleep(every)
+        await asyncio.sleep(FLOOD_STEP_S)
     return admitted
 
 
@@ -284,6 +289,26 @@
     assert most_in(run(scenario()), 8.0) <= granted(8.0) + unnoticed
 
 
+def test_machines_that_are_cut_off_do_not_spend_the_burst_of_the_others():
+    """A third of the machines is cut off from all others as a flood begins."""
+
+    async def scenario():
+        network, entries = start_fleet(40, 4, GRANTED)
+        await asyncio.sleep(JOIN_S)
+        before = await flood(entries, 0.4)
+        for here in entries[::3]:
+            for there in entries:
+                if here is not there:
+                    pair = frozenset((here.process.instance, there.process.instance))
+                    network.faults.partitioned.add(pair)
+        return before + await flood(entries, 10.0)
+
+    # Until an entry notices that it is cut off, it admits all that reaches it.
+    reaches_them = len(range(0, 40, 3)) / 40 * FLOOD_PER_S
+    unnoticed = (SILENT_AFTER_S + REPORT_INTERVAL_S) * reaches_them
+    assert most_in(run(scenario()), 8.0) <= granted(8.0) + unnoticed
+
+
 def test_a_fleet_of_two_builds_stays_within_what_is_granted():
     """A third of the members knows nothing of zones and speaks to all others."""
 
