--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -109,6 +109,12 @@
     entries: int = 1
     offsets: dict[str, dict[str, float]] = field(default_factory=dict)
 
+    def clear_assumed(self) -> None:
+        """Forget what it was assumed to have spent."""
+        self.assumed_spent.clear()
+        self.assumed_level.clear()
+        self.assumed_entries.clear()
+
 
 def _no_workspace(name: str) -> Workspace | None:
     return None
@@ -209,6 +215,8 @@
             return False
         self._adopted = True
         self._buckets.clear()
+        for other in self._others.values():
+            other.clear_assumed()
         for reported in levels:
             not_counted = max(
                 0.0, self._spent.get(reported.workspace, 0.0) - reported.counted
@@ -392,9 +400,7 @@
         """Return what an entry was assumed to spend of workspaces that it did not."""
         for name, assumed in other.assumed_spent.items():
             self._buckets[name].level += assumed
-        other.assumed_spent.clear()
-        other.assumed_level.clear()
-        other.assumed_entries.clear()
+        other.clear_assumed()
 
     def _charge(self, name: str, cost: float, now: float) -> None:
         self._buckets[name].level -= cost
--- a/tests/forward/test_rates.py
+++ b/tests/forward/test_rates.py
@@ -258,3 +258,43 @@
     assert here.take(SPACE, 1500.0, 1.5) > 0
     here.remove_entry("1")
     assert here.take(SPACE, 1900.0, 1.6) == 0.0
+
+
+def test_levels_are_adopted_while_another_entry_is_silent():
+    """An entry starts, one of its neighbors falls silent, another one answers."""
+    spaces = {"w": SPACE, "v": replace(SPACE, name="v")}
+    here = FleetRates(RateTolerance(), 0.0, spaces.get)
+    here.apply_totals("silent", "i", {}, 0.0)
+    here.take(spaces["v"], 10.0, 2.0)
+    assert here.adopt_levels([], 2.0)
+    here.apply_totals("silent", "i", {}, 2.1)
+    here.remove_entry("silent")
+    assert here.take(SPACE, 2000.0, 2.2) == 0.0
+
+
+def test_random_silences_and_restarts_never_admit_more_than_the_bucket():
+    """Seeded: entries and zones fall silent, return, restart and shrink."""
+    for seed in range(300):
+        rng = random.Random(seed)
+        here = FleetRates(FRESH, 0.0, {"w": SPACE}.get)
+        admitted, now, spent = 0.0, 0.0, {"e1": 0.0, "e2": 0.0, "z": 0.0}
+        for _ in range(200):
+            now += rng.random() * 0.6
+            entry = rng.choice(("e1", "e2"))
+            action = rng.choice(("report", "zone", "take", "restart", "quiet"))
+            if action == "report":
+                spent[entry] += rng.choice((0.0, 50.0))
+                totals = {"w": spent[entry]} if spent[entry] else {}
+                here.apply_totals(entry, "i", totals, now, rng.random() < 0.5)
+            elif action == "zone":
+                spent["z"] += rng.choice((0.0, 80.0))
+                silent = rng.choice((0, 0, 1, 3))
+                here.apply_zone("a", "r", {"w": spent["z"]}, now, True, now, 5, silent)
+            elif action == "restart":
+                here.remove_entry(entry)
+                spent[entry] = 0.0
+            elif action == "take" and here.take(SPACE, 100.0, now) == 0.0:
+                admitted += 100.0
+            here.take(SPACE, 0.0, now)  # brings the bucket up to date
+            assert here.level("w") <= 2000.0, seed
+        assert admitted <= now * 1000 + 2000, seed
