Send every heartbeat by one function, and share the interval of endpoint checks

Found by reading the change again: the answer to a member built the same message as the regular heartbeat, and entry and agent each had an interval of their own for StoreReplica.refresh_endpoints (0.2 s in both).

--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -19,7 +19,7 @@
     StageChange,
     next_stage_change,
 )
-from ebonyglade.forward.store_replica import StoreReplica
+from ebonyglade.forward.store_replica import REFRESH_INTERVAL_S, StoreReplica
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage, StoreVersion
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
@@ -42,7 +42,6 @@
 MAX_REPLICA_AGE_S = 2.5
 CHANGE_EXPIRY_S = 1.5  # a stage change that another agent reported counts this long
 MAX_REPORT_AGE_S = 1.0  # memory is granted only on a report that is younger
-REFRESH_INTERVAL_S = 0.2  # between two checks for endpoints that are not listed again
 # Revisions of one era stay below this power of two. An era and a revision together
 # are still exact for peers that decode numbers as doubles.
 FENCE_REVISION_BITS = 40
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -24,7 +24,11 @@
 from ebonyglade.forward.rates import FleetRates, RateTolerance, zone_key
 from ebonyglade.forward.replica_sync import ReplicaSync
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
-from ebonyglade.forward.store_replica import StoreReplica, log_store_change
+from ebonyglade.forward.store_replica import (
+    REFRESH_INTERVAL_S,
+    StoreReplica,
+    log_store_change,
+)
 from ebonyglade.forward.types import Load, Stage, Workspace
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.forward.zone_reports import RECENT_TOTALS_S
@@ -136,7 +140,7 @@
         self.members.start()
         self.context.handle({RefusalNotice: self._on_refused})
         self.context.every(CLEANUP_INTERVAL_S, self._clean_up)
-        self.context.every(CLEANUP_INTERVAL_S / 5, self.replica.refresh_endpoints)
+        self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
 
     @property
     def ready(self) -> bool:
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -272,7 +272,8 @@
             self._reconnect(member, now)
             new = now - member.known_since < NEW_MEMBER_S
             heartbeat = complete if new or member.echo < 0 else lately
-            self._send(member, heartbeat, listed is member, now)
+            records = self._records_for(member, listed is member, now)
+            self._send(member, heartbeat, records)
 
     def broadcast_to_entries(self, message: Message) -> None:
         """Send a message to the other entries that this process speaks to."""
@@ -286,21 +287,27 @@
             self.context.send(member.address, ShutdownNotice())
 
     def _send(
-        self, member: Member, heartbeat: FleetHeartbeat, listing: bool, now: float
+        self, member: Member, heartbeat: FleetHeartbeat, records: list[MemberRecord]
     ) -> None:
-        """Send a heartbeat, with a list of members to newcomers or if `listing`."""
-        records: list[MemberRecord] = []
-        if member.echo < 0:
-            records = self._all_records(now)
-        elif listing:
-            records = self._records(now)
-            if len(records) > MAX_LISTED_MEMBERS:
-                records = self.context.rng.sample(records, MAX_LISTED_MEMBERS)
+        """Send a heartbeat with the member's echo and a list of members."""
         self.context.send(
             member.address,
             msgspec.structs.replace(heartbeat, echo=member.echo, members=records),
         )
 
+    def _records_for(
+        self, member: Member, listing: bool, now: float
+    ) -> list[MemberRecord]:
+        """Return the members to list: all to newcomers, a sample if `listing`."""
+        if member.echo < 0:
+            return self._all_records(now)
+        if not listing:
+            return []
+        records = self._records(now)
+        if len(records) > MAX_LISTED_MEMBERS:
+            records = self.context.rng.sample(records, MAX_LISTED_MEMBERS)
+        return records
+
     def _records(self, now: float) -> list[MemberRecord]:
         return [
             MemberRecord(
@@ -391,12 +398,8 @@
             return
         if now - member.answered_at >= ANSWER_INTERVAL_S:
             member.answered_at = now
-            heartbeat = self.compose(True)
             records = self._all_records(now) if newcomer else []
-            self.context.send(
-                member.address,
-                msgspec.structs.replace(heartbeat, echo=member.echo, members=records),
-            )
+            self._send(member, self.compose(True), records)
 
     def _on_shutdown_notice(self, sender: Sender, message: ShutdownNotice) -> None:
         member = self._members.get(sender.address)
--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -37,6 +37,7 @@
 # Endpoints that left are remembered for this long: an older copy of the store may
 # list them again.
 DEPARTED_TTL_S = 120.0
+REFRESH_INTERVAL_S = 0.2  # between two calls of `StoreReplica.refresh_endpoints`
 NEVER = float("-inf")
 MAX_LOGGED_AGE_S = 1e6  # logged for a replica that was never confirmed
 
