Log and count what replica responses and store reads bring, and what was needed

Each response of a member now has a line with its bytes, its seconds and whether anything in it was needed; each read that failed has the bytes that it had received. No decision changes.

--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -219,10 +219,20 @@
             _current_attempt.reset(token)
 
     async def call(
-        self, address: str, call: ControlCall, timeout_s: float
+        self,
+        address: str,
+        call: ControlCall,
+        timeout_s: float,
+        on_data: Callable[[int], None] = lambda size: None,
     ) -> ControlResponse:
         """Make a control call, which runs no request; return its response.
 
+        Args:
+            address: "IP:port" of the endpoint or the store.
+            call: method, target and body.
+            timeout_s: limit from the start of the call to the end of the response.
+            on_data: called with the number of bytes of each part of the body.
+
         Raises:
             aiohttp.ClientError: there is no complete response.
             TimeoutError: the response was not complete within `timeout_s`.
@@ -233,9 +243,18 @@
                 address, call.method, call.target, headers, call.body, SendAttempt()
             )
             async with response:
-                return ControlResponse(
-                    response.status, response.headers, await response.read()
-                )
+                body = await _read_body(response, on_data)
+                return ControlResponse(response.status, response.headers, body)
+
+
+async def _read_body(
+    response: aiohttp.ClientResponse, on_data: Callable[[int], None]
+) -> bytes:
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        on_data(len(part))
+    return bytes(body)
 
 
 def _open_socket(info: tuple) -> socket.socket:
--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -80,6 +80,8 @@
         self._metrics = metrics
         self._has_snapshot = False
         self._failing_since: float | None = None
+        self._called_at = 0.0
+        self._received_bytes = 0  # of the response to the latest call
 
     @Service.task
     async def _run(self) -> None:
@@ -152,7 +154,10 @@
         decode: Callable[[ControlResponse], StorePage],
     ) -> StorePage:
         self._metrics.count("store_calls")
-        response = await self._client.call(self._address, call, timeout_s)
+        self._called_at, self._received_bytes = self._clock(), 0
+        response = await self._client.call(
+            self._address, call, timeout_s, self._count_received
+        )
         if response.status == HISTORY_GONE_STATUS:
             # The missed changes are gone, so the whole store is read again.
             self._has_snapshot = False
@@ -163,15 +168,26 @@
         except ValueError as error:
             raise StoreUnavailable(f"invalid response: {error}") from error
 
+    def _count_received(self, size: int) -> None:
+        self._received_bytes += size
+        self._metrics.count("store_bytes", size)
+
     def _record_failure(self, error: Exception) -> None:
         self._metrics.count("store_failures")
+        self._metrics.count("store_bytes_lost", self._received_bytes)
         self._replica.record_failed_read()
-        if self._failing_since is None:
-            self._failing_since = self._clock()
+        now = self._clock()
+        if self._failing_since is None or self._received_bytes:
             logger.warning(
                 "store unreachable",
-                extra={"reason": str(error) or type(error).__name__},
+                extra={
+                    "reason": str(error) or type(error).__name__,
+                    "received_bytes": self._received_bytes,
+                    "seconds": round(now - self._called_at, 3),
+                },
             )
+        if self._failing_since is None:
+            self._failing_since = now
 
     def _record_success(self) -> None:
         """Record that the store responds; called before its response is applied.
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
@@ -5,6 +5,7 @@
 reports. The sender answered later than that, so the age is never underestimated.
 """
 
+import logging
 from dataclasses import dataclass, field
 
 from ebonyglade.context import Context
@@ -22,6 +23,8 @@
     ZoneReport,
 )
 
+logger = logging.getLogger(__name__)
+
 # Between two requests, so that a slow response is not requested twice.
 REQUEST_INTERVAL_S = 0.3
 
@@ -103,6 +106,7 @@
         ):
             return
         self._requested_at[member.address] = now
+        self.context.count("replica_requests")
         replica = self.replica
         self.context.send(
             member.address,
@@ -148,6 +152,7 @@
     def _on_response(self, sender: Sender, response: ReplicaResponse) -> None:
         replica = self.replica
         as_of = StoreVersion(response.era, response.as_of)
+        self._record_response(sender, response, as_of)
         changed = [
             StoreDocument(
                 item.path, item.value, StoreVersion(response.era, item.revision)
@@ -165,6 +170,29 @@
         if replica.replace([*changed, *kept], as_of):
             replica.confirm_current_at(response.sent_at - response.age_s)
 
+    def _record_response(
+        self, sender: Sender, response: ReplicaResponse, as_of: StoreVersion
+    ) -> None:
+        """Log and count what a member's response brought, and whether it was needed."""
+        received = sum(len(item.value) for item in response.changed)
+        needed = as_of > self.replica.as_of
+        self.context.count("replica_bytes", received)
+        if not needed:
+            self.context.count("replica_bytes_outdated", received)
+        logger.info(
+            "replica received",
+            extra={
+                "member": sender.address,
+                "bytes": received,
+                "documents": len(response.changed),
+                "seconds": round(self.context.clock() - response.sent_at, 3),
+                "era": as_of.era,
+                "revision": as_of.revision,
+                "known_revision": self.replica.as_of.revision,
+                "needed": needed,
+            },
+        )
+
     def _record_outage_end(self, relist_s: float) -> None:
         """Record the end of an outage that another member has seen."""
         if relist_s > 0:
