--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -37,11 +37,20 @@
 
 
 class Network:
-    """Delivers frames between processes, in order unless a fault is set."""
+    """Delivers frames between processes, in order unless a fault is set.
+
+    Attributes:
+        delay_s: one way, without the time that links take.
+        link_rates: rate of an instance's link in bytes a second, each way; an instance
+            that is missing has a link without limit.
+        faults: faults in force.
+    """
 
     def __init__(self, rng: random.Random, delay_s: float = DELAY_S) -> None:
         self._rng = rng
         self.delay_s = delay_s
+        self.link_rates: dict[str, float] = {}
+        self._free_at: dict[tuple[str, str], float] = {}
         self._receivers: dict[str, Callable[[bytes], None]] = {}
         self._last_arrival: dict[tuple[str, str], float] = {}
         self.faults = Faults()
@@ -85,7 +94,9 @@
 
     def _schedule(self, source: str, target: str, frame: bytes) -> None:
         loop = asyncio.get_running_loop()
-        arrives_at = loop.time() + self.delay_s + self._rng.random() * JITTER_S
+        sent_at = self._cross_link(source, "out", loop.time(), len(frame))
+        arrives_at = sent_at + self.delay_s + self._rng.random() * JITTER_S
+        arrives_at = self._cross_link(target, "in", arrives_at, len(frame))
         if self._rng.random() < self.faults.late:
             arrives_at += self._rng.random() * self.faults.late_s
         else:
@@ -95,6 +106,18 @@
             self._last_arrival[source, target] = arrives_at
         loop.call_at(arrives_at, self._arrive, source, target, frame)
 
+    def _cross_link(self, instance: str, way: str, at: float, size: int) -> float:
+        """Return when a frame that reaches a link at a time has crossed it.
+
+        A link carries one frame after the other.
+        """
+        rate = self.link_rates.get(instance)
+        if rate is None:
+            return at
+        free_at = max(at, self._free_at.get((instance, way), 0.0)) + size / rate
+        self._free_at[instance, way] = free_at
+        return free_at
+
     def _arrive(self, source: str, target: str, frame: bytes) -> None:
         if frozenset((source, target)) in self.faults.partitioned:
             return
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -14,6 +14,7 @@
 from helpers.members import member_context
 
 WORKSPACE = Workspace("w", ("key",), rate=100_000.0, burst=200_000.0)
+BYTES_PER_MBIT = 125_000
 FIRST_START_RATES = RateTolerance(first_start=True)
 
 
@@ -21,11 +22,21 @@
     """An entry on the simulated network; its configuration lists no endpoints."""
 
     def __init__(
-        self, network, name, rates=FIRST_START_RATES, zone="z", incarnation="1"
+        self,
+        network,
+        name,
+        rates=FIRST_START_RATES,
+        zone="z",
+        incarnation="1",
+        link_mbps=0.0,
     ):
         self.process = Process(name, incarnation)
         context = member_context(self.process, network, zone)
-        limits = ForwardLimits(None, RetryBudgetLimits(0.2, 10.0, 50.0), rates)
+        limits = ForwardLimits(
+            None, RetryBudgetLimits(0.2, 10.0, 50.0), rates, link_mbps
+        )
+        if link_mbps:
+            network.link_rates[name] = link_mbps * BYTES_PER_MBIT
         self.core = ForwardEntry(context, plain_adapter, None, limits, ("e0",))
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
         self.core.start()
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -12,6 +12,7 @@
 
 from ebonyglade_lab.standins.server import StandIn
 
+PART_INTERVAL_S = 0.05  # between two parts of a response at a limited rate
 MAX_EVENTS = 100  # kept for watches; a watch from before them gets status 410
 
 
@@ -21,6 +22,8 @@
     Attributes:
         era: rises when the store comes back from an older copy.
         between_pages: called once between two pages of a range read.
+        bytes_per_s: rate at which responses leave; None for no limit.
+        stalls: whether responses stop half way.
     """
 
     def __init__(self, page=2):
@@ -34,6 +37,8 @@
         self.reads = 0
         self.era = 1
         self.between_pages = None
+        self.bytes_per_s = None
+        self.stalls = False
         self.app.router.add_get("/kv-range", self._range)
         self.app.router.add_get("/kv-watch", self._watch)
 
@@ -73,8 +78,20 @@
         async with self._changed:
             self._changed.notify_all()
 
-    def _respond(self, document):
-        return web.json_response(document, headers=self._headers())
+    async def _respond(self, request, document):
+        if self.bytes_per_s is None:
+            return web.json_response(document, headers=self._headers())
+        body = json.dumps(document).encode()
+        response = web.StreamResponse(headers=self._headers())
+        response.content_length = len(body)
+        await response.prepare(request)
+        step = max(1, round(self.bytes_per_s * PART_INTERVAL_S))
+        for start in range(0, len(body), step):
+            await response.write(body[start : start + step])
+            await asyncio.sleep(PART_INTERVAL_S)
+            while self.stalls and start > len(body) / 2:
+                await asyncio.sleep(PART_INTERVAL_S)
+        return response
 
     def _refuse(self, status):
         return web.Response(status=status, headers=self._headers())
@@ -99,12 +116,13 @@
         keys = sorted(
             key for key in self._items if key > after and key.startswith(prefix)
         )
-        return self._respond(
+        return await self._respond(
+            request,
             {
                 "items": [self._items[key] for key in keys[: self._page]],
                 "Truncated": len(keys) > self._page,
                 "AsOf": self._revision,
-            }
+            },
         )
 
     async def _watch(self, request):
@@ -127,8 +145,8 @@
             pass
         if self.era != era:
             return self._refuse(410)
-        return self._respond(
-            {"events": self._events_after(after), "AsOf": self._revision}
+        return await self._respond(
+            request, {"events": self._events_after(after), "AsOf": self._revision}
         )
 
     def _events_after(self, after):
