Do not read the store as a last resort while a replica arrives from another member

The store's document is not compressed, so the read took twelve times the bytes of the transfer and delayed it. A transfer that has brought nothing for a second keeps nobody from reading. The test failed before.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -41,7 +41,7 @@
             AuditTrail(context.wall_clock, listener=log_store_change),
             self._settings.instance.link_mbps,
         )
-        await self.node.join(self.agent.replica, self.agent.members)
+        await self.node.join(self.agent.replica_sync, self.agent.members)
         self.agent.start()
         logger.info("started", extra={"seeds": len(self._settings.seeds)})
 
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -60,7 +60,7 @@
         )
         metrics.gauge("open_requests", lambda: self.server.drainer.open_requests)
         metrics.gauge("members", lambda: len(self.entry.members.all()))
-        await self.node.join(self.entry.replica, self.entry.members)
+        await self.node.join(self.entry.replica_sync, self.entry.members)
         self.entry.start()
         await self.add_runtime_dependency(self.server)
         logger.info("started", extra={"seeds": len(self._settings.seeds)})
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -8,8 +8,8 @@
 from ebonyglade.errors import UserError
 from ebonyglade.forward.adapter import load_adapter
 from ebonyglade.forward.members import FleetMembers
+from ebonyglade.forward.replica_sync import ReplicaSync
 from ebonyglade.forward.store_readers import reader_choice
-from ebonyglade.forward.store_replica import StoreReplica
 from ebonyglade_node import logs
 from ebonyglade_node.clocks import boottime_clock
 from ebonyglade_node.endpoint_client import EndpointClient
@@ -58,9 +58,10 @@
         self.client = EndpointClient(CONNECT_TIMEOUT_S, self.adapter.REQUEST_ID)
         self.port = HttpEndpointPort(self.adapter, self.client)
 
-    async def join(self, replica: StoreReplica, members: FleetMembers) -> None:
+    async def join(self, replica_sync: ReplicaSync, members: FleetMembers) -> None:
         """Start the link, the timers and the reader of the store."""
         settings = self.settings.store
+        replica = replica_sync.replica
         reader = StoreReader(
             settings.address,
             settings.wait_ms / 1000,
@@ -69,7 +70,7 @@
             replica,
             self.context.clock,
             self.metrics,
-            reader_choice(members, replica),
+            reader_choice(members, replica_sync),
         )
         self.metrics.gauge("log_lines_dropped", logs.dropped_lines)
         self.metrics.gauge("store_era", lambda: replica.as_of.era)
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
@@ -55,7 +55,7 @@
         source: address of the member that was asked last.
         started_at: when it began.
         asked_at: when a member was last asked.
-        progress_at: when something last arrived.
+        progress_at: when something last arrived; negative infinity if nothing did.
         timeout_s: time after `asked_at` at which another member is asked.
         response: the response to the request; None before it arrives.
         whole: documents that arrived, with their content.
@@ -67,7 +67,7 @@
     source: str
     started_at: float
     asked_at: float
-    progress_at: float
+    progress_at: float = float("-inf")
     timeout_s: float = FIRST_TIMEOUT_S
     response: ReplicaResponse | None = None
     whole: list[ReplicaDocument] = field(default_factory=list)
@@ -109,7 +109,7 @@
         now = self.context.clock()
         self._offers[member.address] = _Offer(now, member.capacity)
         if self._current is None:
-            self._current = _Transfer(member.address, now, now, now)
+            self._current = _Transfer(member.address, now, now)
             self._request_replica()
 
     def withdraw(self, member: Member) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/store_readers.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_readers.py
@@ -3,13 +3,14 @@
 The store allows a limited number of reads over the whole fleet. In a zone with many
 members only the first ones by rank read it. A member whose reads fail says so in its
 heartbeats, and the next ones by rank read until it succeeds again. Any member whose
-replica is no longer confirmed reads by itself.
+replica is no longer confirmed reads by itself, unless a newer one is on its way from
+another member: both would share the link.
 """
 
 from collections.abc import Callable
 
 from ebonyglade.forward.members import FleetMembers, reporter_rank
-from ebonyglade.forward.store_replica import StoreReplica
+from ebonyglade.forward.replica_sync import ReplicaSync
 from ebonyglade.forward.types import NO_VERSION
 
 READERS_PER_ZONE = 2
@@ -24,13 +25,14 @@
 
 
 def reader_choice(
-    members: FleetMembers, replica: StoreReplica
+    members: FleetMembers, replica_sync: ReplicaSync
 ) -> Callable[[float], bool]:
     """Return the function that says whether this process reads the store now."""
 
     def should_read(now: float) -> bool:
+        replica = replica_sync.replica
         if replica.as_of == NO_VERSION or replica.age(now) > FOLLOWED_MAX_AGE_S:
-            return True
+            return not replica_sync.transfer.is_progressing(now)
         neighbors = members.zone_members(now)
         if 1 + len(neighbors) < MIN_ZONE_MEMBERS:
             return True
--- a/tests/forward/test_large_configurations.py
+++ b/tests/forward/test_large_configurations.py
@@ -16,6 +16,7 @@
     InvalidContent,
 )
 from ebonyglade.forward.members import LIVENESS_TIMEOUT_S
+from ebonyglade.forward.store_readers import FOLLOWED_MAX_AGE_S, reader_choice
 from ebonyglade.forward.types import Share
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
@@ -187,6 +188,26 @@
     assert set(run(scenario())) == {2}
 
 
+def test_a_member_does_not_read_the_store_while_a_replica_arrives_from_another():
+    """Guards against a read beside a transfer that shares a slow link with it."""
+
+    async def scenario():
+        _, entries = start_fleet(wide=2, slow=5)
+        await asyncio.sleep(JOIN_S)
+        slow = entries[-1]
+        reads = reader_choice(slow.core.members, slow.core.replica_sync)
+        await asyncio.sleep(FOLLOWED_MAX_AGE_S)
+        before = reads(slow.now)
+        read_store(entries, large_configuration(2, 60))
+        while not slow.core.replica_sync.transfer.is_progressing(slow.now):
+            await asyncio.sleep(0.01)
+        during = reads(slow.now)
+        await asyncio.sleep(IN_FORCE_S)
+        return before, during
+
+    assert run(scenario()) == (True, False)
+
+
 def test_a_member_of_an_older_build_gets_large_documents_whole():
     item = large_configuration(2, 60, count=100)
     listed = DocumentPacker().describe(item, parts=False)
--- a/tests/forward/test_zones.py
+++ b/tests/forward/test_zones.py
@@ -365,7 +365,7 @@
     return [
         entry
         for entry in entries
-        if reader_choice(entry.core.members, entry.core.replica)(entry.now)
+        if reader_choice(entry.core.members, entry.core.replica_sync)(entry.now)
     ]
 
 
