Refuse requests while a newer configuration is known and does not arrive

Callers reached services that the route no longer named. It now refuses such requests (not run, 503, configuration_old) and reports not ready once it has known of a newer configuration for half of the published bound, so that callers go to entries that have it. While the store is away nobody knows a newer one, and entries serve on as before. The test failed before: the entry admitted requests by version 1 for all of 3 s.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -16,6 +16,9 @@
 # request is sent before its key is checked, so each request that is admitted was
 # also sent within the bound. The margin covers clocks that run at different rates.
 KEY_AGE_MARGIN_S = 0.2
+# An entry may use this share of the published bound on changes after it heard of one;
+# the rest covers the time until it hears of it.
+OUTDATED_SHARE = 0.5
 
 
 class ForwardingEntry(Service):
@@ -43,6 +46,7 @@
                 self._settings.instance.first_start,
             ),
             capacity=self._settings.instance.link_mbps,
+            max_outdated_s=OUTDATED_SHARE * bounds.apply_ms / 1000,
         )
         self.entry = ForwardEntry(
             self.node.context,
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
@@ -68,6 +68,8 @@
     Attributes:
         fail_closed: whether API keys are refused while they can't be confirmed.
         revoke_ms: time after which a revoked API key must no longer work.
+        apply_ms: time within which a change of the configuration must be in force at
+            all entries.
         repeat_ratio: retries allowed per request in the window.
         repeat_window_s: length of the window in which both are counted.
         repeat_slack: retries allowed in addition in each window.
@@ -80,6 +82,7 @@
 
     fail_closed: bool = True
     revoke_ms: int = Field(default=5000, gt=0)
+    apply_ms: int = Field(default=3000, gt=0)
     repeat_ratio: float = Field(default=0.1, ge=0)
     repeat_window_s: float = Field(default=10.0, gt=0)
     repeat_slack: float = Field(default=0.0, ge=0)
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -56,12 +56,15 @@
         budget: limits of the retry budget.
         rates: allowance above the workspaces' rates and bursts.
         capacity: rate of this machine's network link in Mbit/s; 0 if not known.
+        max_outdated_s: time for which requests are admitted by a configuration while
+            a newer one is known to be in force at another member.
     """
 
     max_key_age_s: float | None
     budget: RetryBudgetLimits
     rates: RateTolerance
     capacity: float = 0.0
+    max_outdated_s: float = float("inf")
 
 
 class ForwardEntry:
@@ -112,7 +115,7 @@
         # The steps run in this order; the first refusal ends the request.
         # `_take_tokens` must be the last one, since `_admit_with_wait` repeats only it.
         self._admission_steps: tuple[AdmissionStep, ...] = (
-            self._check_started,
+            self._check_configuration,
             self._find_route,
             self._authenticate,
             self._choose_service,
@@ -145,7 +148,11 @@
     @property
     def ready(self) -> bool:
         """Whether a configuration is known that is new enough to admit requests."""
-        return self.replica.table is not None and not self._replica_too_old()
+        return (
+            self.replica.table is not None
+            and not self._replica_too_old()
+            and not self._is_outdated()
+        )
 
     async def run(self, call: ForwardCall) -> Reply:
         """Admit a request, send it, and return its response or a refusal."""
@@ -219,8 +226,18 @@
             max_age_s is not None and self.replica.age(self.context.clock()) > max_age_s
         )
 
-    def _check_started(self, call: ForwardCall) -> Refusal | None:
-        return refuse("starting") if self.replica.table is None else None
+    def _is_outdated(self) -> bool:
+        outdated_s = self.replica_sync.outdated_for(self.context.clock())
+        return outdated_s > self.limits.max_outdated_s
+
+    def _check_configuration(self, call: ForwardCall) -> Refusal | None:
+        """Refuse while no configuration is known, or only one that was replaced.
+
+        Another entry may have the newer one, so that the caller can succeed there.
+        """
+        if self.replica.table is None:
+            return refuse("starting")
+        return refuse("configuration_old") if self._is_outdated() else None
 
     def _find_route(self, call: ForwardCall) -> Refusal | None:
         path = call.target.partition("?")[0]
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
@@ -43,6 +43,7 @@
     replica: StoreReplica
     transfer: ReplicaTransfer = field(init=False)
     _packer: DocumentPacker = field(default_factory=DocumentPacker)
+    _newer_since: dict[int, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.transfer = ReplicaTransfer(self.context, self.replica, self._apply)
@@ -71,6 +72,14 @@
             round(replica.relist_time_left(now), 3),
         )
 
+    def outdated_for(self, now: float) -> float:
+        """Return the seconds since a configuration newer than the own one is known."""
+        own = self.replica.configuration_version
+        self._newer_since = {
+            version: at for version, at in self._newer_since.items() if version > own
+        }
+        return now - min(self._newer_since.values(), default=now)
+
     def leaving_records(self) -> list[LeavingRecord]:
         """Return the endpoints that told this process that they leave."""
         observed = self.replica.leaving.observed()
@@ -92,10 +101,10 @@
         if state.age_s < 0:
             return
         version = StoreVersion(state.era, state.as_of)
-        if (
-            version > replica.as_of
-            or state.configuration > replica.configuration_version
-        ):
+        newer = state.configuration > replica.configuration_version
+        if newer:
+            self._newer_since.setdefault(state.configuration, self.context.clock())
+        if newer or version > replica.as_of:
             self.transfer.offer(member)
             return
         self.transfer.withdraw(member)
--- a/tests/forward/test_large_configurations.py
+++ b/tests/forward/test_large_configurations.py
@@ -11,6 +11,7 @@
 import pytest
 
 from ebonyglade.forward.document_parts import (
+    PART_BYTES,
     DocumentPacker,
     IncomingDocument,
     InvalidContent,
@@ -188,6 +189,34 @@
     assert set(run(scenario())) == {2}
 
 
+def test_an_entry_that_can_not_get_a_newer_configuration_refuses_until_it_has_it():
+    """Guards against requests that run by a configuration known to be replaced."""
+
+    async def scenario():
+        network, entries = start_fleet(wide=2, slow=2)
+        await asyncio.sleep(JOIN_S)
+        behind = entries[-1]
+        network.link_rates[behind.process.instance] = PART_BYTES / 10
+        core = behind.core
+        published = large_configuration(2, 60)
+        read_store(entries, published)
+        seen = []
+        for _ in range(round(IN_FORCE_S / 0.1)):
+            await asyncio.sleep(0.1)
+            refusal = core.admit(behind.call("r", 5.0))
+            seen.append((refusal.code if refusal else None, core.ready))
+        network.link_rates.clear()
+        network._free_at.clear()
+        while core.replica.configuration_version != 2:
+            await asyncio.sleep(0.1)
+        return seen, core.ready
+
+    seen, ready = run(scenario())
+    assert seen[0] == (None, True)
+    assert seen[-1] == ("configuration_old", False)
+    assert ready
+
+
 def test_a_member_does_not_read_the_store_while_a_replica_arrives_from_another():
     """Guards against a read beside a transfer that shares a slow link with it."""
 
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -15,6 +15,7 @@
 
 WORKSPACE = Workspace("w", ("key",), rate=100_000.0, burst=200_000.0)
 BYTES_PER_MBIT = 125_000
+MAX_OUTDATED_S = 1.5
 FIRST_START_RATES = RateTolerance(first_start=True)
 
 
@@ -33,7 +34,11 @@
         self.process = Process(name, incarnation)
         context = member_context(self.process, network, zone)
         limits = ForwardLimits(
-            None, RetryBudgetLimits(0.2, 10.0, 50.0), rates, link_mbps
+            None,
+            RetryBudgetLimits(0.2, 10.0, 50.0),
+            rates,
+            link_mbps,
+            MAX_OUTDATED_S,
         )
         if link_mbps:
             network.link_rates[name] = link_mbps * BYTES_PER_MBIT
