--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -306,6 +306,11 @@
         if item.value is None:
             self._keep_configuration(item, known, "removed")
             return
+        if known is not None and known.value == item.value:
+            # The content is in force, or was rejected, and has only a new version.
+            version = max(known.version, item.version)
+            self._documents[item.path] = replace(known, version=version)
+            return
         try:
             published = self.adapter.decode_published(item.value)
         except ValueError as error:
--- a/tests/forward/test_store_replica.py
+++ b/tests/forward/test_store_replica.py
@@ -92,3 +92,16 @@
     replica.confirm_current_at(99.0)
     replica.confirm_current_at(98.0)
     assert replica.age(clock()) == 1.0
+
+
+def test_a_configuration_that_is_known_already_is_not_put_in_force_again():
+    """Guards against decoding all routes once for each member that sends them."""
+    clock = Clock()
+    replica = store_replica(clock)
+    replica.apply([configuration(3, 10)], at(10))
+    table = replica.table
+    replica.adopt_configuration(configuration(3, 9))
+    replica.apply([configuration(3, 12)], at(12))
+    assert replica.table is table
+    assert replica.as_of == at(12)
+    assert [record.revision for record in replica.audit] == [10]
