Do not wait for a newer configuration that no member has any more

Entries refuse requests while a newer configuration is known. If its only holder ended and the store had lost it, a whole fleet would have refused for good (found on reading, not seen). A newer configuration counts while a member states it in heartbeats. The test fails without the limit.

--- a/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
@@ -28,6 +28,10 @@
     ReplicaResponse,
 )
 
+# A newer configuration that no member has stated for this time is not waited for: the
+# only member that had it may have ended, and the store may have lost it.
+NEWER_TTL_S = 2.0
+
 
 @dataclass(slots=True)
 class ReplicaSync:
@@ -44,6 +48,7 @@
     transfer: ReplicaTransfer = field(init=False)
     _packer: DocumentPacker = field(default_factory=DocumentPacker)
     _newer_since: dict[int, float] = field(default_factory=dict)
+    _newer_heard_at: float = float("-inf")
 
     def __post_init__(self) -> None:
         self.transfer = ReplicaTransfer(self.context, self.replica, self._apply)
@@ -73,10 +78,17 @@
         )
 
     def outdated_for(self, now: float) -> float:
-        """Return the seconds since a configuration newer than the own one is known."""
+        """Return for how long other members have had a newer configuration.
+
+        Returns:
+            Seconds; zero if no member that is heard has a newer one.
+        """
         own = self.replica.configuration_version
+        heard = now - self._newer_heard_at < NEWER_TTL_S
         self._newer_since = {
-            version: at for version, at in self._newer_since.items() if version > own
+            version: at
+            for version, at in self._newer_since.items()
+            if heard and version > own
         }
         return now - min(self._newer_since.values(), default=now)
 
@@ -103,7 +115,8 @@
         version = StoreVersion(state.era, state.as_of)
         newer = state.configuration > replica.configuration_version
         if newer:
-            self._newer_since.setdefault(state.configuration, self.context.clock())
+            self._newer_heard_at = self.context.clock()
+            self._newer_since.setdefault(state.configuration, self._newer_heard_at)
         if newer or version > replica.as_of:
             self.transfer.offer(member)
             return
--- a/tests/forward/test_large_configurations.py
+++ b/tests/forward/test_large_configurations.py
@@ -11,6 +11,7 @@
 import pytest
 
 from ebonyglade.forward.document_parts import (
+    MIN_PACKED_BYTES,
     PART_BYTES,
     DocumentPacker,
     IncomingDocument,
@@ -217,6 +218,32 @@
     assert ready
 
 
+def test_entries_serve_on_when_the_only_member_with_a_newer_configuration_ends():
+    """Guards against a fleet that waits for a configuration that nobody has."""
+
+    async def scenario():
+        network, entries = start_fleet(wide=2, slow=2)
+        await asyncio.sleep(JOIN_S)
+        reader, *others = entries
+        send = network.send
+        network.send = lambda source, target, frame: (
+            # Its heartbeats get through and its replica does not.
+            len(frame) < MIN_PACKED_BYTES and send(source, target, frame)
+        )
+        published = large_configuration(2, 60)
+        reader.core.replica.apply([published], published.version)
+        reader.core.replica.record_read(reader.now)
+        await asyncio.sleep(IN_FORCE_S)
+        waiting = [entry.core.ready for entry in others]
+        reader.process.kill()
+        await asyncio.sleep(IN_FORCE_S)
+        return waiting, [entry.core.ready for entry in others]
+
+    waiting, after = run(scenario())
+    assert not any(waiting)
+    assert all(after)
+
+
 def test_a_member_does_not_read_the_store_while_a_replica_arrives_from_another():
     """Guards against a read beside a transfer that shares a slow link with it."""
 
