Request configuration changes ever more rarely while their answer is under way

Requests for the same changes now wait 0.5, 1, 2 and then 4 s; an update that arrives ends the wait.

--- a/packages/ebonyglade/src/ebonyglade/config/controller.py
+++ b/packages/ebonyglade/src/ebonyglade/config/controller.py
@@ -1,6 +1,7 @@
 """Controller of the configuration that is in force in one process."""
 
 import logging
+from dataclasses import dataclass
 
 from ebonyglade.audit import AuditRecord, AuditTrail
 from ebonyglade.config.checks import record_warnings
@@ -13,8 +14,24 @@
 
 logger = logging.getLogger(__name__)
 
-_NO_REQUEST = (-1, 0.0)
-REQUEST_RETRY_S = 0.5  # timeout after which the next request may be sent
+REQUEST_RETRY_S = 0.5  # time without an update after which it is requested again
+# Each further request waits twice as long: the update may be on its way.
+REQUEST_RETRY_MAX_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class _PendingRequest:
+    """The latest request for changes that was not answered yet.
+
+    Attributes:
+        since: revision after which the changes were requested.
+        until: time from which another request may be sent.
+        retry_s: seconds between the request and `until`.
+    """
+
+    since: int
+    until: float
+    retry_s: float
 
 
 class ConfigController:
@@ -30,7 +47,7 @@
         self.audit = AuditTrail(context.wall_clock, listener=_log)
         self.store = ConfigStore(self.audit)
         self._indexer = ViewIndexer()
-        self._pending_request = _NO_REQUEST
+        self._pending_request: _PendingRequest | None = None
         context.handle({ConfigRequest: self._on_ask, ConfigUpdate: self._on_push})
 
     @property
@@ -51,15 +68,18 @@
         """Request the changes from an instance that has a newer revision.
 
         While one request is pending no other is sent, so that each change is
-        transferred once; after `REQUEST_RETRY_S` another one may be sent.
+        transferred once. It is repeated after `REQUEST_RETRY_S`, then ever more rarely.
         """
         known, now = self.store.revision, self._context.clock()
         if revision <= known:
             return
-        pending_revision, requested_at = self._pending_request
-        if pending_revision == known and now - requested_at < REQUEST_RETRY_S:
-            return
-        self._pending_request = (known, now)
+        pending = self._pending_request
+        retry_s = REQUEST_RETRY_S
+        if pending is not None and pending.since == known:
+            if now < pending.until:
+                return
+            retry_s = min(2 * pending.retry_s, REQUEST_RETRY_MAX_S)
+        self._pending_request = _PendingRequest(known, now + retry_s, retry_s)
         self.request_changes(instance)
 
     def request_changes(self, instance: str) -> None:
@@ -73,7 +93,7 @@
 
     def _on_push(self, sender: Sender, message: ConfigUpdate) -> None:
         changed = self.store.apply_push(message)
-        self._pending_request = _NO_REQUEST
+        self._pending_request = None
         if changed is not None:
             self._refresh(changed)
         newest = max(message.newest, message.revision)
