--- a/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
@@ -261,8 +261,10 @@
         known = self.replica.as_of
         needed = StoreVersion(response.era, response.as_of) > known
         received = sum(len(item.value) for item in documents)
-        if transfer is not None and transfer.received:
-            received = transfer.received
+        started_at, retries = response.sent_at, 0
+        if transfer is not None:
+            received = transfer.received or received
+            started_at, retries = transfer.started_at, transfer.retries
         self.context.count("replica_bytes", received)
         if not needed:
             self.context.count("replica_bytes_outdated", received)
@@ -272,8 +274,8 @@
                 "member": source,
                 "bytes": received,
                 "documents": len(documents),
-                "seconds": round(self.context.clock() - response.sent_at, 3),
-                "retries": transfer.retries if transfer is not None else 0,
+                "seconds": round(self.context.clock() - started_at, 3),
+                "retries": retries,
                 "era": response.era,
                 "revision": response.as_of,
                 "known_revision": known.revision,
