--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -41,15 +41,13 @@
 
     Attributes:
         delay_s: one way, without the time that links take.
-        link_rates: rate of an instance's link in bytes a second, each way; an instance
-            that is missing has a link without limit.
         faults: faults in force.
     """
 
     def __init__(self, rng: random.Random, delay_s: float = DELAY_S) -> None:
         self._rng = rng
         self.delay_s = delay_s
-        self.link_rates: dict[str, float] = {}
+        self._link_rates: dict[str, float] = {}
         self._free_at: dict[tuple[str, str], float] = {}
         self._receivers: dict[str, Callable[[bytes], None]] = {}
         self._last_arrival: dict[tuple[str, str], float] = {}
@@ -57,6 +55,19 @@
         self.frames = 0
         self.bytes = 0
 
+    def set_link_rate(self, instance: str, rate: float | None) -> None:
+        """Set the rate of an instance's link, which is then free.
+
+        Args:
+            instance: the instance.
+            rate: bytes a second, each way; None for a link without limit.
+        """
+        self._link_rates.pop(instance, None)
+        for way in ("in", "out"):
+            self._free_at.pop((instance, way), None)
+        if rate is not None:
+            self._link_rates[instance] = rate
+
     def attach(self, instance: str, receive: Callable[[bytes], None]) -> None:
         """Deliver an instance's frames to `receive`, in place of an earlier receiver.
 
@@ -111,7 +122,7 @@
 
         A link carries one frame after the other.
         """
-        rate = self.link_rates.get(instance)
+        rate = self._link_rates.get(instance)
         if rate is None:
             return at
         free_at = max(at, self._free_at.get((instance, way), 0.0)) + size / rate
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
@@ -93,6 +93,11 @@
     _offers: dict[str, _Offer] = field(default_factory=dict)
     _current: _Transfer | None = None
 
+    @property
+    def source(self) -> str | None:
+        """Address of the member that was asked last; None without a transfer."""
+        return self._current.source if self._current is not None else None
+
     def start(self) -> None:
         """Register handlers and timers."""
         self.context.handle(
--- a/tests/forward/test_large_configurations.py
+++ b/tests/forward/test_large_configurations.py
@@ -157,7 +157,7 @@
         while not slow.core.replica_sync.transfer.is_progressing(slow.now):
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.08)
-        source = slow.core.replica_sync.transfer._current.source
+        source = slow.core.replica_sync.transfer.source
         ended = next(item for item in entries if item.process.instance == source)
         ended.process.kill()
         alive = [entry for entry in entries if entry is not ended]
@@ -197,7 +197,7 @@
         network, entries = start_fleet(wide=2, slow=2)
         await asyncio.sleep(JOIN_S)
         behind = entries[-1]
-        network.link_rates[behind.process.instance] = PART_BYTES / 10
+        network.set_link_rate(behind.process.instance, PART_BYTES / 10)
         core = behind.core
         published = large_configuration(2, 60)
         read_store(entries, published)
@@ -206,8 +206,7 @@
             await asyncio.sleep(0.1)
             refusal = core.admit(behind.call("r", 5.0))
             seen.append((refusal.code if refusal else None, core.ready))
-        network.link_rates.clear()
-        network._free_at.clear()
+        network.set_link_rate(behind.process.instance, None)
         while core.replica.configuration_version != 2:
             await asyncio.sleep(0.1)
         return seen, core.ready
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -41,7 +41,7 @@
             MAX_OUTDATED_S,
         )
         if link_mbps:
-            network.link_rates[name] = link_mbps * BYTES_PER_MBIT
+            network.set_link_rate(name, link_mbps * BYTES_PER_MBIT)
         self.core = ForwardEntry(context, plain_adapter, None, limits, ("e0",))
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
         self.core.start()
