--- a/tests/forward/test_large_configurations.py
+++ b/tests/forward/test_large_configurations.py
@@ -29,7 +29,7 @@
 JOIN_S = 2.5
 ROUTES = 4200  # about 0.9 MB
 ZONES = 4
-WIDE_MBPS, SLOW_MBPS = 1000.0, 5.0
+FAST_MBPS, SLOW_MBPS = 1000.0, 5.0
 
 
 def large_configuration(version, revision, count=ROUTES):
@@ -45,10 +45,10 @@
     return configuration(version, revision, routes=routes, workspaces=(WORKSPACE,))
 
 
-def start_fleet(wide, slow):
-    """Start entries with wide and with slow links in each zone."""
+def start_fleet(fast, slow):
+    """Start entries with fast and with slow links in each zone."""
     network = Network(random.Random(1))
-    links = [WIDE_MBPS] * wide * ZONES + [SLOW_MBPS] * slow * ZONES
+    links = [FAST_MBPS] * fast * ZONES + [SLOW_MBPS] * slow * ZONES
     entries = [
         Entry(network, f"e{n}", zone=f"z{n % ZONES}", link_mbps=link)
         for n, link in enumerate(links)
@@ -57,9 +57,9 @@
 
 
 def read_store(entries, published):
-    """Let entries with wide links read a document from the store."""
+    """Let entries with fast links read a document from the store."""
     for entry in entries:
-        if entry.core.members.capacity == WIDE_MBPS:
+        if entry.core.members.capacity == FAST_MBPS:
             entry.core.replica.apply([published], published.version)
             entry.core.replica.record_read(entry.now)
 
@@ -77,7 +77,7 @@
     """Guards against copies of one configuration that crowd each other out."""
 
     async def scenario():
-        _, entries = start_fleet(wide=2, slow=5)
+        _, entries = start_fleet(fast=2, slow=5)
         await asyncio.sleep(JOIN_S)
         await publish(entries, 2, 60, 2.0)
         return await publish(entries, 3, 70, IN_FORCE_S)
@@ -89,7 +89,7 @@
     """Guards against heartbeats that queue up behind copies of a configuration."""
 
     async def scenario():
-        _, entries = start_fleet(wide=2, slow=5)
+        _, entries = start_fleet(fast=2, slow=5)
         await asyncio.sleep(JOIN_S)
         published = large_configuration(2, 60)
         silent = []
@@ -126,7 +126,7 @@
     """Guards against requests of a replica that is on its way already."""
 
     async def scenario():
-        network, entries = start_fleet(wide=2, slow=5)
+        network, entries = start_fleet(fast=2, slow=5)
         await asyncio.sleep(JOIN_S)
         sizes = count_bytes_to(network, entries[-1].process.instance)
         await publish(entries, 2, 60, 4.0)
@@ -140,7 +140,7 @@
     """Guards against a transfer that is repeated before it can end."""
 
     async def scenario():
-        _, entries = start_fleet(wide=1, slow=1)
+        _, entries = start_fleet(fast=1, slow=1)
         await asyncio.sleep(JOIN_S)
         return await publish(entries, 2, 60, IN_FORCE_S)
 
@@ -149,7 +149,7 @@
 
 def test_a_transfer_goes_on_at_another_member_when_its_source_ends():
     async def scenario():
-        _, entries = start_fleet(wide=2, slow=5)
+        _, entries = start_fleet(fast=2, slow=5)
         await asyncio.sleep(JOIN_S)
         published = large_configuration(2, 60)
         read_store(entries, published)
@@ -169,7 +169,7 @@
 
 def test_a_configuration_that_changes_while_it_is_sent_is_followed_by_the_newer_one():
     async def scenario():
-        _, entries = start_fleet(wide=2, slow=5)
+        _, entries = start_fleet(fast=2, slow=5)
         await asyncio.sleep(JOIN_S)
         for version in range(2, 8):
             read_store(entries, large_configuration(version, 50 + 10 * version))
@@ -182,7 +182,7 @@
 
 def test_large_configurations_arrive_although_messages_are_lost_and_repeated():
     async def scenario():
-        network, entries = start_fleet(wide=2, slow=2)
+        network, entries = start_fleet(fast=2, slow=2)
         network.faults.lose = network.faults.repeat = network.faults.late = 0.1
         await asyncio.sleep(2 * JOIN_S)
         return await publish(entries, 2, 60, 2 * IN_FORCE_S)
@@ -194,7 +194,7 @@
     """Guards against requests that run by a configuration known to be replaced."""
 
     async def scenario():
-        network, entries = start_fleet(wide=2, slow=2)
+        network, entries = start_fleet(fast=2, slow=2)
         await asyncio.sleep(JOIN_S)
         behind = entries[-1]
         network.set_link_rate(behind.process.instance, PART_BYTES / 10)
@@ -221,7 +221,7 @@
     """Guards against a fleet that waits for a configuration that nobody has."""
 
     async def scenario():
-        network, entries = start_fleet(wide=2, slow=2)
+        network, entries = start_fleet(fast=2, slow=2)
         await asyncio.sleep(JOIN_S)
         reader, *others = entries
         send = network.send
@@ -247,7 +247,7 @@
     """Guards against a read beside a transfer that shares a slow link with it."""
 
     async def scenario():
-        _, entries = start_fleet(wide=2, slow=5)
+        _, entries = start_fleet(fast=2, slow=5)
         await asyncio.sleep(JOIN_S)
         slow = entries[-1]
         reads = reader_choice(slow.core.members, slow.core.replica_sync)
