--- a/tests/forward/test_large_configurations.py
+++ b/tests/forward/test_large_configurations.py
@@ -27,7 +27,7 @@
 
 IN_FORCE_S = 3.0  # the platform's bound on the time until a change is in force
 JOIN_S = 2.5
-ROUTES = 4200  # about 0.9 MB
+ROUTES = 4200  # about 1 MB
 ZONES = 4
 FAST_MBPS, SLOW_MBPS = 1000.0, 5.0
 
