Keep known configurations by one function, and do no work in admission while none is newer

- Each admitted request rebuilt the table of newer configurations, which is empty but for the time of a change; admission now returns at once where it is empty.
- A complete document was copied twice to check and unpack it; now once.
- The time of a repeated request was set twice; the request alone sets it now.

--- a/packages/ebonyglade/src/ebonyglade/forward/document_parts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/document_parts.py
@@ -130,11 +130,12 @@
         Raises:
             InvalidContent: the parts are not the listed content.
         """
-        if _digest(bytes(self._data)) != self.listed.digest:
+        data = bytes(self._data)
+        if _digest(data) != self.listed.digest:
             raise InvalidContent("digest differs")
         decompressor = zlib.decompressobj()
         try:
-            content = decompressor.decompress(bytes(self._data), MAX_FRAME_BYTES)
+            content = decompressor.decompress(data, MAX_FRAME_BYTES)
         except zlib.error as error:
             raise InvalidContent(str(error)) from error
         if not decompressor.eof:
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_sync.py
@@ -83,6 +83,8 @@
         Returns:
             Seconds; zero if no member that is heard has a newer one.
         """
+        if not self._newer_since:
+            return 0.0
         own = self.replica.configuration_version
         heard = now - self._newer_heard_at < NEWER_TTL_S
         self._newer_since = {
--- a/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/replica_transfer.py
@@ -133,7 +133,6 @@
             self._current = None
             return
         current.source = source
-        current.asked_at = now
         longer = min(2 * current.timeout_s, MAX_TIMEOUT_S)
         current.timeout_s = max(current.timeout_s, longer)
         current.retries += 1
--- a/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store_replica.py
@@ -308,8 +308,7 @@
             return
         if known is not None and known.value == item.value:
             # The content is in force, or was rejected, and has only a new version.
-            version = max(known.version, item.version)
-            self._documents[item.path] = replace(known, version=version)
+            self._keep_document(item, known)
             return
         try:
             published = self.adapter.decode_published(item.value)
@@ -330,10 +329,14 @@
         self, item: StoreDocument, known: StoreDocument | None, reason: str
     ) -> None:
         if known is not None:
-            version = max(known.version, item.version)
-            self._documents[item.path] = replace(known, version=version)
+            self._keep_document(item, known)
         self._record(item, Outcome.IGNORED, reason)
 
+    def _keep_document(self, item: StoreDocument, known: StoreDocument) -> None:
+        """Keep the content of a known document under the newer of two versions."""
+        version = max(known.version, item.version)
+        self._documents[item.path] = replace(known, version=version)
+
     def _apply_endpoint(self, name: str, item: StoreDocument) -> None:
         if item.value is None:
             self._unlist_endpoint(name, item)
