--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -7,12 +7,8 @@
 from mode import Service
 from result import Err, Ok, Result
 
-from ebonyglade.forward.call import (
-    CompleteResponse,
-    ForwardCall,
-    IncompleteResponse,
-    StreamedResponse,
-)
+from ebonyglade.completeness import IncompleteResponse
+from ebonyglade.forward.call import CompleteResponse, ForwardCall, StreamedResponse
 from ebonyglade.forward.entry import ForwardEntry
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade_entry.drain import RequestDrainer, ServingState
@@ -147,6 +143,7 @@
             raise
         except (IncompleteResponse, ConnectionError) as error:
             outcome = f"cut: {error}"
+            self._log_cut(request, call, error)
             if request.transport is not None:
                 # Without its last chunk the response is visibly incomplete.
                 request.transport.abort()
@@ -239,6 +236,24 @@
         self._close_if_stopping(response)
         return response
 
+    def _log_cut(
+        self, request: web.Request, call: ForwardCall | None, error: Exception
+    ) -> None:
+        """Log a caller's response that ends early, and how its end can be seen.
+
+        Before HTTP/1.1 a response has no chunks, and a streamed one ends with its
+        connection.
+        """
+        self._node.metrics.count("caller_responses_cut")
+        logger.info(
+            "response to the caller cut",
+            extra={
+                "request": call.id if call else "",
+                "http": f"{request.version.major}.{request.version.minor}",
+                "reason": str(error) or type(error).__name__,
+            },
+        )
+
     def _log_request(
         self,
         request: web.Request,
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -33,6 +33,10 @@
     """A request was aborted before its first byte was sent."""
 
 
+class ResponseReset(aiohttp.ClientPayloadError):
+    """The connection failed before the end of a response."""
+
+
 @dataclass(slots=True)
 class SendAttempt:
     """State of one attempt to send a request.
@@ -100,11 +104,17 @@
         super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a response without a length if a connection reset truncated it."""
+        """Fail a response that a connection reset truncated, also one without a length.
+
+        The error is set again at the end, since the parser may replace it.
+        """
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        truncated = exc is not None and payload is not None and not payload.is_eof()
+        if truncated:
+            payload.set_exception(ResponseReset(f"connection reset: {exc!r}"))
         super().connection_lost(exc)
+        if truncated:
+            payload.set_exception(ResponseReset(f"connection reset: {exc!r}"))
 
     def mark_idle(self) -> None:
         """Mark the connection as idle."""
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -7,13 +7,13 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from ebonyglade.completeness import Ending, Framing, IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.call import (
     AttemptFailure,
     EndpointResponse,
     FailureKind,
     ForwardCall,
-    IncompleteResponse,
 )
 from ebonyglade.forward.types import (
     ControlCall,
@@ -21,7 +21,12 @@
     Endpoint,
     EndpointInstructions,
 )
-from ebonyglade_node.endpoint_client import EndpointClient, NotSent, SendAttempt
+from ebonyglade_node.endpoint_client import (
+    EndpointClient,
+    NotSent,
+    ResponseReset,
+    SendAttempt,
+)
 
 NOT_CONNECTED_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -92,7 +97,7 @@
                 response.status,
                 headers,
                 metadata,
-                response.content_length,
+                _framing(response),
                 _read_chunks(response),
                 response.close,
             )
@@ -104,9 +109,17 @@
         async for chunk in response.content.iter_any():
             yield chunk
     except (aiohttp.ClientError, OSError) as error:
-        raise IncompleteResponse(_describe(error)) from error
+        reset = isinstance(error, ResponseReset | OSError)
+        ending = Ending.RESET if reset else Ending.EARLY
+        raise IncompleteResponse(_describe(error), ending) from error
     response.release()
 
 
+def _framing(response: aiohttp.ClientResponse) -> Framing:
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    return Framing.CONNECTION if response.content_length is None else Framing.LENGTH
+
+
 def _describe(error: Exception) -> str:
     return f"{type(error).__name__}: {error}"[:200]
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.call import (
     AttemptFailure,
@@ -15,7 +16,6 @@
     EndpointResponse,
     FailureKind,
     ForwardCall,
-    IncompleteResponse,
 )
 from ebonyglade.forward.crash_counts import CrashCounts
 from ebonyglade.forward.endpoint_loads import EndpointLoads
@@ -179,9 +179,35 @@
         self,
         call: ForwardCall,
         endpoint: Endpoint,
-        reason: str = "response ended early",
+        response: EndpointResponse,
+        error: IncompleteResponse,
+    ) -> AttemptFailure:
+        """Record a response that ended early; the request may have run."""
+        self.count(f"responses_incomplete_{error.ending.value}")
+        logger.info(
+            "response incomplete",
+            extra={
+                "request": call.id,
+                "endpoint": endpoint.id,
+                "status": response.status,
+                "framing": response.framing.value,
+                "ending": error.ending.value,
+                "reason": str(error),
+            },
+        )
+        return self._record_unusable_response(call, endpoint, "response ended early")
+
+    def record_encoded_response(
+        self, call: ForwardCall, endpoint: Endpoint
+    ) -> AttemptFailure:
+        """Record a response with an encoding that was not requested."""
+        return self._record_unusable_response(
+            call, endpoint, "unrequested content encoding"
+        )
+
+    def _record_unusable_response(
+        self, call: ForwardCall, endpoint: Endpoint, reason: str
     ) -> AttemptFailure:
-        """Record a response that can't be passed on; the request may have run."""
         self.loads.record_outcome(endpoint.id, True, self.clock())
         call.verdict = combine_verdicts(call.verdict, Verdict.MAY_HAVE_RUN)
         return AttemptFailure(FailureKind.BROKEN, reason)
@@ -260,14 +286,14 @@
 }
 
 
-async def read_body(response: EndpointResponse) -> Result[bytes, None]:
+async def read_body(response: EndpointResponse) -> Result[bytes, IncompleteResponse]:
     """Return a response's body; Err if it ended early."""
     chunks = []
     try:
         async for part in response.chunks:
             chunks.append(part)
         return Ok(b"".join(chunks))
-    except IncompleteResponse:
-        return Err(None)
+    except IncompleteResponse as error:
+        return Err(error)
     finally:
         response.close()
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -7,6 +7,7 @@
 
 from result import Result
 
+from ebonyglade.completeness import Framing
 from ebonyglade.forward.types import (
     ControlCall,
     ControlResponse,
@@ -130,10 +131,6 @@
         return Verdict.MAY_HAVE_RUN
 
 
-class IncompleteResponse(Exception):
-    """A response ended before it was complete."""
-
-
 @dataclass(slots=True)
 class EndpointResponse:
     """An endpoint's response whose headers have arrived.
@@ -142,7 +139,7 @@
         status: HTTP status.
         headers: as the endpoint sent them.
         metadata: parsed headers.
-        length: bytes of the body, if known.
+        framing: what marks the end of the body.
         chunks: the body; raises `IncompleteResponse` if it ends early.
         close: ends the exchange; if the body was not read to its end, the
             connection is closed too.
@@ -151,7 +148,7 @@
     status: int
     headers: Headers
     metadata: ResponseMetadata
-    length: int | None
+    framing: Framing
     chunks: AsyncIterator[bytes]
     close: Callable[[], None]
 
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.agent_client import AgentClient
 from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender, read_body
 from ebonyglade.forward.call import (
@@ -18,14 +19,12 @@
     EndpointResponse,
     FailureKind,
     ForwardCall,
-    IncompleteResponse,
     Reply,
     StreamedResponse,
 )
-from ebonyglade.forward.events import EventSplitter
 from ebonyglade.forward.prefiller import Prefiller, PrefillSource
 from ebonyglade.forward.reserver import MemoryReservation, Reserver
-from ebonyglade.forward.streams import StreamStats, next_events
+from ebonyglade.forward.streams import EventReader, StreamStats
 from ebonyglade.verdict import Verdict, combine_verdicts
 
 # Limit for the response headers, and again from them to the first event.
@@ -153,15 +152,22 @@
         headers = attempts.adapter.response_headers(response.headers)
         if response.status >= 300 or response.metadata.encoded:
             body = await read_body(response)
-            if isinstance(body, Err) or response.metadata.encoded:
-                return Err(attempts.record_broken_response(call, reservation.endpoint))
+            if isinstance(body, Err):
+                failure = body.err_value
+                return Err(
+                    attempts.record_broken_response(
+                        call, reservation.endpoint, response, failure
+                    )
+                )
+            if response.metadata.encoded:
+                return Err(attempts.record_encoded_response(call, reservation.endpoint))
             return Ok(CompleteResponse(response.status, headers, body.ok_value))
-        splitter = EventSplitter()
+        events = EventReader(response)
         try:
             async with asyncio.timeout(
                 min(attempts.remaining_s(call), FIRST_EVENT_TIMEOUT_S)
             ):
-                first = await next_events(response, splitter)
+                first = await events.next_events()
         except TimeoutError:
             response.close()
             call.verdict = combine_verdicts(call.verdict, Verdict.MAY_HAVE_RUN)
@@ -169,20 +175,23 @@
         except asyncio.CancelledError:
             response.close()
             raise
-        except IncompleteResponse:
+        except IncompleteResponse as error:
             response.close()
-            return Err(attempts.record_broken_response(call, reservation.endpoint))
+            return Err(
+                attempts.record_broken_response(
+                    call, reservation.endpoint, response, error
+                )
+            )
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
         attempts.crashes.record_success(call.fingerprint)
-        chunks = self._stream_events(call, reservation, response, splitter, first)
+        chunks = self._stream_events(call, reservation, events, first)
         return Ok(StreamedResponse(response.status, headers, chunks))
 
     async def _stream_events(
         self,
         call: ForwardCall,
         reservation: MemoryReservation,
-        response: EndpointResponse,
-        splitter: EventSplitter,
+        events: EventReader,
         first: bytes,
     ) -> AsyncIterator[bytes]:
         clock = self.attempts.clock
@@ -191,20 +200,20 @@
             yield first
             async with asyncio.timeout(max(0.0, self.attempts.remaining_s(call))):
                 while True:
-                    events = await next_events(response, splitter)
-                    if not events:
+                    complete_events = await events.next_events()
+                    if not complete_events:
                         break
                     stats.record_events(clock())
-                    yield events
-            if splitter.remainder:
-                yield splitter.remainder
+                    yield complete_events
+            if events.unfinished:
+                yield events.unfinished
             stats.complete = True
         except TimeoutError as error:
             raise IncompleteResponse("the deadline passed") from error
         finally:
-            response.close()
+            events.response.close()
             self._finish(call, reservation)
-            stats.log(call, reservation.endpoint.id)
+            stats.log(call, reservation.endpoint.id, events)
 
     def _finish(self, call: ForwardCall, reservation: MemoryReservation) -> None:
         self.attempts.loads.request_ended(reservation.endpoint.id)
--- a/packages/ebonyglade/src/ebonyglade/forward/plain.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/plain.py
@@ -75,13 +75,12 @@
             response = sent.ok_value
             body = await read_body(response)
             if isinstance(body, Err):
-                return Err(attempts.record_broken_response(call, endpoint))
-            if response.metadata.encoded:
+                failure = body.err_value
                 return Err(
-                    attempts.record_broken_response(
-                        call, endpoint, "unrequested content encoding"
-                    )
+                    attempts.record_broken_response(call, endpoint, response, failure)
                 )
+            if response.metadata.encoded:
+                return Err(attempts.record_encoded_response(call, endpoint))
             attempts.crashes.record_success(call.fingerprint)
             headers = attempts.adapter.response_headers(response.headers)
             return Ok(CompleteResponse(response.status, headers, body.ok_value))
--- a/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
@@ -108,6 +108,7 @@
                         "request": call.id,
                         "endpoint": endpoint.id,
                         "status": response.status,
+                        "reason": str(body.err_value) if body.is_err() else "",
                     },
                 )
                 return None
--- a/packages/ebonyglade/src/ebonyglade/forward/streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/streams.py
@@ -1,14 +1,56 @@
 """Reading of complete events from a stream, and statistics of the stream."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import EndpointResponse, ForwardCall
 from ebonyglade.forward.events import EventSplitter
 
 logger = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class EventReader:
+    """Reads complete events from a streamed response.
+
+    Attributes:
+        response: the response.
+        received: bytes received so far.
+        ending: how the stream ended; None before that.
+    """
+
+    response: EndpointResponse
+    received: int = 0
+    ending: Ending | None = None
+    _splitter: EventSplitter = field(default_factory=EventSplitter)
+
+    @property
+    def unfinished(self) -> bytes:
+        """Bytes of an event that has not ended."""
+        return self._splitter.remainder
+
+    async def next_events(self) -> bytes:
+        """Return the next complete events; empty at the end of a complete response.
+
+        Raises:
+            IncompleteResponse: the response ended early.
+        """
+        while True:
+            try:
+                data = await anext(self.response.chunks)
+            except StopAsyncIteration:
+                self.ending = Ending.AS_FRAMED
+                return b""
+            except IncompleteResponse as error:
+                self.ending = error.ending
+                raise
+            self.received += len(data)
+            events = self._splitter.feed(data)
+            if events:
+                return events
+
+
 @dataclass(slots=True)
 class StreamStats:
     """Statistics of one stream, for its log line."""
@@ -25,8 +67,8 @@
         self.last_at = now
         self.batches += 1
 
-    def log(self, call: ForwardCall, endpoint: str) -> None:
-        """Log the statistics."""
+    def log(self, call: ForwardCall, endpoint: str, events: EventReader) -> None:
+        """Log the statistics, and how the stream ended."""
         logger.info(
             "stream ended",
             extra={
@@ -37,17 +79,9 @@
                 "longest_gap": round(self.longest_gap, 3),
                 "parts": self.batches,
                 "whole": self.complete,
+                "framing": events.response.framing.value,
+                "ending": events.ending.value if events.ending else "given_up",
+                "bytes": events.received,
+                "unfinished_bytes": len(events.unfinished),
             },
         )
-
-
-async def next_events(response: EndpointResponse, splitter: EventSplitter) -> bytes:
-    """Return the next complete events; empty at the end of a complete response."""
-    while True:
-        try:
-            data = await anext(response.chunks)
-        except StopAsyncIteration:
-            return b""
-        events = splitter.feed(data)
-        if events:
-            return events
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -3,12 +3,12 @@
 
 from result import Err, Ok
 
+from ebonyglade.completeness import Framing, IncompleteResponse
 from ebonyglade.forward.agent_client import AgentClient
 from ebonyglade.forward.call import (
     AttemptFailure,
     EndpointResponse,
     FailureKind,
-    IncompleteResponse,
     StreamedResponse,
 )
 from ebonyglade.forward.endpoint_loads import EndpointLoads
@@ -42,7 +42,7 @@
 UNREACHED = AttemptFailure(FailureKind.NOT_SENT, "refused")
 
 
-def response(*parts, status=200, broken=False, encoded=False):
+def response(*parts, status=200, broken=False, encoded=False, framing=Framing.CHUNKS):
     async def chunks():
         for part in parts:
             yield part
@@ -51,7 +51,9 @@
 
     metadata = ResponseMetadata("id-1", True, True, encoded=encoded)
     return Ok(
-        EndpointResponse(status, [("X", "y")], metadata, None, chunks(), lambda: None)
+        EndpointResponse(
+            status, [("X", "y")], metadata, framing, chunks(), lambda: None
+        )
     )
 
 
