--- a/tests/forward/test_endpoint_client.py
+++ b/tests/forward/test_endpoint_client.py
@@ -1,8 +1,6 @@
 """Wrong or truncated responses of endpoints, over real sockets."""
 
 import asyncio
-import socket
-import struct
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -10,6 +8,7 @@
 
 from ebonyglade.forward.types import ControlCall
 from ebonyglade_node.endpoint_client import EndpointClient, NotSent, SendAttempt
+from helpers.scripted_answers import reset
 
 ID = "Request-Id"
 
@@ -43,13 +42,6 @@
         server.close()
 
 
-def reset(writer):
-    """Close a connection with a TCP reset instead of a FIN."""
-    raw_socket = writer.get_extra_info("socket")
-    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 async def ask(client, address, request_id, may_send=lambda: True):
     attempt = SendAttempt(request_id, may_send)
     response = await client.request(
@@ -101,13 +93,29 @@
         writer.write(f"HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\nhalf".encode())
         await writer.drain()
         await asyncio.sleep(0.05)
-        reset(writer)
+        reset(writer.transport)
 
     async with endpoint(serve) as (address, client, _):
         with pytest.raises(aiohttp.ClientError):
             await ask(client, address, "a")
 
 
+# The reset arrives while reading is paused, since nobody reads the bytes before it.
+async def test_reset_behind_bytes_that_wait_to_be_read_is_an_error():
+    async def serve(connection, writer):
+        writer.write(f"HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\n".encode() + b"x" * 400_000)
+        await asyncio.sleep(0.1)
+        reset(writer.transport)
+
+    async with endpoint(serve) as (address, client, _):
+        attempt = SendAttempt("a", lambda: True)
+        response = await client.request(address, "GET", "/x", [(ID, "a")], b"", attempt)
+        await asyncio.sleep(0.3)
+        async with response:
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+
+
 async def test_response_without_length_that_ends_cleanly_is_complete():
     async def serve(connection, writer):
         writer.write(f"HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\nwhole".encode())
--- /dev/null
+++ b/tests/helpers/forwarding_path.py
@@ -0,0 +1,111 @@
+"""A forwarding entry with simulated parts of the users' platform around it."""
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+
+from ebonyglade_entry.forwarding.service import ForwardingEntry
+from ebonyglade_entry.forwarding.settings import ForwardSettings
+from helpers.users_platform import PlatformStore, PlatformWorker, config, route
+
+# Headers of a model request.
+MODEL = {"X-Model": "m", "X-Token-Count": "100,50", "X-Length-Hint": "20"}
+ROUTES = [
+    route("/read/", "plain"),
+    route("/book/", "plain", "non_idempotent", MaxAttempts=1),
+    route("/write/", "model", "streaming", TimeoutMs=4000),
+    route("/open/", "plain", Public=True),
+    route("/slow/", "plain", TimeoutMs=300),
+]
+
+
+def free_port():
+    with socket.socket() as opened:
+        opened.bind(("127.0.0.1", 0))
+        return opened.getsockname()[1]
+
+
+def settings(model, store, revoke_ms=5000, **sections):
+    address = f"tcp://127.0.0.1:{free_port()}"
+    return model.model_validate(
+        {
+            "instance": {"name": "n", "address": address, "zone": "z1"},
+            "store": {
+                "address": f"127.0.0.1:{store.port}",
+                "adapter": "ebonyglade_platform",
+                "wait_ms": 200,
+            },
+            "bounds": {
+                "revoke_ms": revoke_ms,
+                "repeat_ratio": 0.2,
+                "repeat_slack": 50,
+                "grace_s": 5,
+            },
+            **sections,
+        }
+    )
+
+
+class ForwardingSetup:
+    """A store, endpoints, an entry, and a client that calls the entry."""
+
+    def __init__(self, store, workers, entry, session, base):
+        self.store, self.workers, self.entry = store, workers, entry
+        self.session, self.base = session, base
+
+    async def ask(self, target, method="GET", key="key-1", body=b"", **headers):
+        sent = {"Host": "h.example", "X-Request-Id": "id-1", "X-Deadline-Ms": "3000"}
+        if key:
+            sent["Api-Key"] = key
+        sent |= headers
+        async with self.session.request(
+            method, self.base + target, headers=sent, data=body
+        ) as response:
+            return response.status, await response.read(), response.headers
+
+    async def until(self, check, within=3.0):
+        async with asyncio.timeout(within):
+            while not check():
+                await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def forwarding_setup(revoke_ms=5000):
+    async with AsyncExitStack() as stack:
+        store = PlatformStore()
+        workers = {
+            "plain-1": PlatformWorker("plain-1"),
+            "plain-2": PlatformWorker("plain-2"),
+            "prefill": PlatformWorker("prefill", "prefill"),
+            "decode": PlatformWorker("decode", "decode"),
+        }
+        for service in (store, *workers.values()):
+            await stack.enter_async_context(service)
+        await store.put("op/config", config(1, ROUTES))
+        for name, worker in workers.items():
+            service = name.partition("-")[0] if worker.stage is None else "model"
+            await store.put(f"servers/{name}", worker.registration(service))
+        callers, ready = free_port(), free_port()
+        listen = {
+            "callers": f"127.0.0.1:{callers}",
+            "ready": f"127.0.0.1:{ready}",
+        }
+        entry = ForwardingEntry(
+            settings(ForwardSettings, store, revoke_ms, listen=listen)
+        )
+        await stack.enter_async_context(entry)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        setup = ForwardingSetup(
+            store, workers, entry, session, f"http://127.0.0.1:{callers}"
+        )
+        setup.ready = f"http://127.0.0.1:{ready}/ready"
+        await setup.until(
+            lambda: len(entry.entry.replica.registry.endpoints) == len(workers)
+        )
+        yield setup
+
+
+def received(setup):
+    return [request for worker in setup.workers.values() for request in worker.received]
--- /dev/null
+++ b/tests/helpers/scripted_answers.py
@@ -0,0 +1,78 @@
+"""Answers of an endpoint whose bytes, framing and end a test decides."""
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass
+
+from ebonyglade.completeness import Framing
+
+MAX_UNSENT_BYTES = 256 * 1024
+MISSING_BYTES = 100  # of a body whose length is stated, and that ends early
+
+
+@dataclass
+class ScriptedAnswer:
+    """One answer, written to the connection as it is.
+
+    Attributes:
+        framing: what marks the end of the body.
+        parts: parts of the body.
+        end: "kept": as the framing marks it; "early": the connection is closed before
+            that; "reset"; "silent": nothing more comes; "endless": the last part is
+            repeated until the connection is closed.
+        interval_s: seconds before each part.
+    """
+
+    framing: Framing
+    parts: tuple[bytes, ...]
+    end: str = "kept"
+    interval_s: float = 0.0
+    sent: int = 0
+
+    async def send(self, request, headers):
+        """Send the answer and wait until the connection is closed."""
+        transport = request.transport
+        transport.write(self._head(headers))
+        for part in self.parts:
+            await asyncio.sleep(self.interval_s)
+            self._write(transport, part)
+        while self.end == "endless" and not transport.is_closing():
+            self._write(transport, self.parts[-1])
+            while transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(self.interval_s)
+        if self.end == "kept" and self.framing is Framing.CHUNKS:
+            transport.write(b"0\r\n\r\n")
+        if self.end == "reset":
+            await asyncio.sleep(0.05)
+            reset(transport)
+        elif self.end != "silent":
+            transport.close()
+        await asyncio.Event().wait()
+
+    def _head(self, headers):
+        framing_headers = {
+            Framing.LENGTH: {"Content-Length": self._stated_length()},
+            Framing.CHUNKS: {"Transfer-Encoding": "chunked"},
+            Framing.CONNECTION: {},
+        }
+        lines = {**headers, **framing_headers[self.framing]}.items()
+        fields = "".join(f"{name}: {value}\r\n" for name, value in lines)
+        return f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode()
+
+    def _stated_length(self):
+        length = sum(len(part) for part in self.parts)
+        return length if self.end == "kept" else length + MISSING_BYTES
+
+    def _write(self, transport, part):
+        self.sent += len(part)
+        chunked = self.framing is Framing.CHUNKS
+        transport.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+
+
+def reset(transport):
+    """Close a connection with a TCP reset instead of a FIN."""
+    raw_socket = transport.get_extra_info("socket")
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -168,6 +168,8 @@
         event_interval_s: seconds after each event.
         abort_after_events: events after which the connection is aborted; None if
             never.
+        answer: answer to all requests but prefills; None for the usual ones.
+        prefill_answer: answer to prefills; None for the usual one.
     """
 
     def __init__(self, name, stage=None, slots=4):
@@ -186,6 +188,8 @@
         self.events = 3
         self.event_interval_s = 0.0
         self.abort_after_events = None
+        self.answer = None
+        self.prefill_answer = None
         self._ids = count(1)
         self.app.router.add_post("/hold-take", self._take_hold)
         self.app.router.add_delete("/hold-drop/{id}", self._drop_hold)
@@ -266,7 +270,11 @@
             await asyncio.sleep(1)
         if self.failure == "silent":
             await asyncio.sleep(30)
-        if request.headers.get("X-Stage") == "prefill":
+        prefill = request.headers.get("X-Stage") == "prefill"
+        answer = self.prefill_answer if prefill else self.answer
+        if answer is not None:
+            await answer.send(request, self._signature_headers(request))
+        if prefill:
             handle = f"handle-{next(self._ids)}"
             self.handles[handle] = request.headers["X-Request-Id"]
             prefill_result = json.dumps(
