--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -18,6 +18,7 @@
     ServiceReply,
     Token,
 )
+from ebonyglade_node.http_bodies import ResetCheckingConnector, ResetCheckingHandler
 
 CONNECT_TIMEOUT_S = 1.0
 EVENTS_TIMEOUT_S = 2.0
@@ -44,7 +45,7 @@
     """A request was aborted after its connection opened, before it was sent."""
 
 
-class _CheckedConnector(aiohttp.TCPConnector):
+class _CheckedConnector(ResetCheckingConnector):
     """Sends a service call at most once, if it is still allowed when connected."""
 
     async def connect(self, *args: object, **options: object) -> Connection:
@@ -86,7 +87,7 @@
     request is retried by aiohttp.
     """
     return aiohttp.ClientSession(
-        connector=_CheckedConnector(limit=0, force_close=True),
+        connector=_CheckedConnector(ResetCheckingHandler, limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -95,8 +96,11 @@
 
 def new_query_session() -> aiohttp.ClientSession:
     """Return a session with keep-alive; only for queries that may be repeated."""
-    timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
-    return aiohttp.ClientSession(timeout=timeout, cookie_jar=aiohttp.DummyCookieJar())
+    return aiohttp.ClientSession(
+        connector=ResetCheckingConnector(ResetCheckingHandler),
+        timeout=aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -13,12 +13,12 @@
 from functools import partial
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 from yarl import URL
 
 from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
+from ebonyglade_node.http_bodies import ResetCheckingConnector, ResetCheckingHandler
 
 # A connection is closed if sent data stays unacknowledged for this time.
 UNACKED_TIMEOUT_MS = 1500
@@ -33,10 +33,6 @@
     """A request was aborted before its first byte was sent."""
 
 
-class ResponseReset(aiohttp.ClientPayloadError):
-    """The connection failed before the end of a response."""
-
-
 @dataclass(slots=True)
 class SendAttempt:
     """State of one attempt to send a request.
@@ -55,7 +51,7 @@
 _current_attempt: ContextVar[SendAttempt | None] = ContextVar("sending", default=None)
 
 
-class _MatchingResponseHandler(ResponseHandler):
+class _MatchingResponseHandler(ResetCheckingHandler):
     """Passes on only the response that belongs to the active request.
 
     Endpoints may send a second response, or bytes after a response. They belong to
@@ -103,19 +99,6 @@
         self._set_idle_limit(message.headers.get("Keep-Alive", ""))
         super().feed_data(data, size)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a response that a connection reset truncated, also one without a length.
-
-        The error is set again at the end, since the parser may replace it.
-        """
-        payload = self._payload
-        truncated = exc is not None and payload is not None and not payload.is_eof()
-        if truncated:
-            payload.set_exception(ResponseReset(f"connection reset: {exc!r}"))
-        super().connection_lost(exc)
-        if truncated:
-            payload.set_exception(ResponseReset(f"connection reset: {exc!r}"))
-
     def mark_idle(self) -> None:
         """Mark the connection as idle."""
         self._expected = None
@@ -149,14 +132,12 @@
         return await super().send(conn)
 
 
-class _Connector(aiohttp.TCPConnector):
+class _Connector(ResetCheckingConnector):
     """Opens connections with `_MatchingResponseHandler` and a TCP user timeout."""
 
     def __init__(self, id_header: str, **options: object) -> None:
-        super().__init__(socket_factory=_open_socket, **options)
-        self._factory = partial(
-            _MatchingResponseHandler, loop=self._loop, id_header=id_header
-        )
+        handler = partial(_MatchingResponseHandler, id_header=id_header)
+        super().__init__(handler, socket_factory=_open_socket, **options)
 
     def _release(
         self,
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -1,13 +1,11 @@
 """Sends requests of the dispatchers to endpoints over HTTP."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import aiohttp
 from result import Err, Ok, Result
 
-from ebonyglade.completeness import Ending, Framing, IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.call import (
     AttemptFailure,
@@ -21,12 +19,8 @@
     Endpoint,
     EndpointInstructions,
 )
-from ebonyglade_node.endpoint_client import (
-    EndpointClient,
-    NotSent,
-    ResponseReset,
-    SendAttempt,
-)
+from ebonyglade_node.endpoint_client import EndpointClient, NotSent, SendAttempt
+from ebonyglade_node.http_bodies import body_of, describe
 
 NOT_CONNECTED_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -63,13 +57,13 @@
                     attempt,
                 )
         except NOT_CONNECTED_ERRORS as error:
-            return Err(AttemptFailure(FailureKind.NOT_SENT, _describe(error)))
+            return Err(AttemptFailure(FailureKind.NOT_SENT, describe(error)))
         except TimeoutError as error:
             kind = FailureKind.LATE if attempt.sent else FailureKind.NOT_SENT
-            return Err(AttemptFailure(kind, _describe(error)))
+            return Err(AttemptFailure(kind, describe(error)))
         except (aiohttp.ClientError, OSError) as error:
             kind = FailureKind.LOST if attempt.sent else FailureKind.NOT_SENT
-            return Err(AttemptFailure(kind, _describe(error)))
+            return Err(AttemptFailure(kind, describe(error)))
         return self._to_result(response)
 
     async def control(
@@ -79,7 +73,7 @@
         try:
             return Ok(await self.client.call(endpoint.address, call, timeout_s))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Err(AttemptFailure(FailureKind.LOST, _describe(error)))
+            return Err(AttemptFailure(FailureKind.LOST, describe(error)))
 
     def _to_result(
         self, response: aiohttp.ClientResponse
@@ -97,29 +91,7 @@
                 response.status,
                 headers,
                 metadata,
-                _framing(response),
-                _read_chunks(response),
+                body_of(response),
                 response.close,
             )
         )
-
-
-async def _read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in response.content.iter_any():
-            yield chunk
-    except (aiohttp.ClientError, OSError) as error:
-        reset = isinstance(error, ResponseReset | OSError)
-        ending = Ending.RESET if reset else Ending.EARLY
-        raise IncompleteResponse(_describe(error), ending) from error
-    response.release()
-
-
-def _framing(response: aiohttp.ClientResponse) -> Framing:
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
-        return Framing.CHUNKS
-    return Framing.CONNECTION if response.content_length is None else Framing.LENGTH
-
-
-def _describe(error: Exception) -> str:
-    return f"{type(error).__name__}: {error}"[:200]
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -17,6 +17,7 @@
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.config.relay import Relay
 from ebonyglade.wire.control import ConfigItem
+from ebonyglade_node.http_bodies import ResetCheckingConnector, ResetCheckingHandler
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.settings import PlatformSection
 
@@ -51,7 +52,8 @@
         """Open the HTTP session."""
         total = self._section.wait_s + RESPONSE_MARGIN_S
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=total)
+            connector=ResetCheckingConnector(ResetCheckingHandler),
+            timeout=aiohttp.ClientTimeout(total=total),
         )
 
     async def on_stop(self) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from ebonyglade.bodies import read_document
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.call import (
@@ -190,7 +191,7 @@
                 "request": call.id,
                 "endpoint": endpoint.id,
                 "status": response.status,
-                "framing": response.framing.value,
+                "framing": response.body.framing.value,
                 "ending": error.cause.value,
                 "reason": str(error),
             },
@@ -288,11 +289,8 @@
 
 async def read_body(response: EndpointResponse) -> Result[bytes, IncompleteResponse]:
     """Return a response's body; Err if it ended early."""
-    chunks = []
     try:
-        async for part in response.chunks:
-            chunks.append(part)
-        return Ok(b"".join(chunks))
+        return Ok(await read_document(response.body))
     except IncompleteResponse as error:
         return Err(error)
     finally:
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from ebonyglade.completeness import Framing
+from ebonyglade.bodies import Body
 from ebonyglade.forward.types import (
     ControlCall,
     ControlResponse,
@@ -139,8 +139,7 @@
         status: HTTP status.
         headers: as the endpoint sent them.
         metadata: parsed headers.
-        framing: what marks the end of the body.
-        chunks: the body; raises `IncompleteResponse` if it ends early.
+        body: its body, not read yet.
         close: ends the exchange; if the body was not read to its end, the
             connection is closed too.
     """
@@ -148,8 +147,7 @@
     status: int
     headers: Headers
     metadata: ResponseMetadata
-    framing: Framing
-    chunks: AsyncIterator[bytes]
+    body: Body
     close: Callable[[], None]
 
 
--- a/packages/ebonyglade/src/ebonyglade/forward/streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/streams.py
@@ -3,7 +3,7 @@
 import logging
 from dataclasses import dataclass, field
 
-from ebonyglade.completeness import Ending, IncompleteResponse, is_complete
+from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import EndpointResponse, ForwardCall
 from ebonyglade.forward.events import EventSplitter
 
@@ -38,9 +38,9 @@
         """
         while True:
             try:
-                data = await anext(self.response.chunks)
-            except StopAsyncIteration:
-                return self._end_as_framed()
+                data = await anext(self.response.body.parts, None)
+                if data is None:
+                    return self._end_as_framed()
             except IncompleteResponse as error:
                 self.ended = error.cause.value
                 raise
@@ -51,10 +51,7 @@
 
     def _end_as_framed(self) -> bytes:
         """Return what follows the last event, if the stream is complete with it."""
-        content = self._splitter.content
-        if not is_complete(self.response.framing, Ending.AS_FRAMED, content):
-            self.ended = content.value
-            raise IncompleteResponse(f"the stream ends with {content.value}", content)
+        self.response.body.require_complete(self._splitter.content)
         self.ended = Ending.AS_FRAMED.value
         return self._splitter.take_remainder()
 
@@ -87,7 +84,7 @@
                 "longest_gap": round(self.longest_gap, 3),
                 "parts": self.batches,
                 "whole": self.complete,
-                "framing": events.response.framing.value,
+                "framing": events.response.body.framing.value,
                 "ending": events.ended or "given_up",
                 "bytes": events.received,
                 "unfinished_bytes": events.unfinished_bytes,
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -3,6 +3,7 @@
 
 from result import Err, Ok
 
+from ebonyglade.bodies import Body
 from ebonyglade.completeness import Framing, IncompleteResponse
 from ebonyglade.forward.agent_client import AgentClient
 from ebonyglade.forward.call import (
@@ -52,7 +53,7 @@
     metadata = ResponseMetadata("id-1", True, True, encoded=encoded)
     return Ok(
         EndpointResponse(
-            status, [("X", "y")], metadata, framing, chunks(), lambda: None
+            status, [("X", "y")], metadata, Body(framing, chunks()), lambda: None
         )
     )
 
