End a cut stream in a reset where the caller gets no chunks (ORDER)

The connection is now reset there, in both interfaces, by one function. An internal error after the beginning of a stream used to append a refusal to it, which such a caller read as a part of the answer; it cuts the stream now.

Both tests failed before (bytes ended in order) and pass; a whole stream still ends in order for such a caller. HTTP/1.1 is unchanged: the missing last chunk shows the cut.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -11,6 +11,7 @@
 from ebonyglade.forward.call import CompleteResponse, ForwardCall, StreamedResponse
 from ebonyglade.forward.entry import ForwardEntry
 from ebonyglade.verdict import Refusal, refuse
+from ebonyglade_entry.cutting import cut_response
 from ebonyglade_entry.drain import RequestDrainer, ServingState
 from ebonyglade_entry.forwarding.settings import ListenSection
 from ebonyglade_node.forward_node import ForwardNode
@@ -144,9 +145,7 @@
         except (IncompleteResponse, ConnectionError) as error:
             outcome = f"cut: {error}"
             self._log_cut(request, call, error)
-            if request.transport is not None:
-                # Without its last chunk the response is visibly incomplete.
-                request.transport.abort()
+            cut_response(request)
             raise ConnectionResetError("response ended early") from error
         except Exception:
             logger.exception("request failed", extra={"request": call and call.id})
@@ -206,6 +205,12 @@
             async for chunk in reply.chunks:
                 await response.write(chunk)
             await response.write_eof()
+        except (IncompleteResponse, ConnectionError):
+            raise
+        except Exception as error:
+            # A refusal can't follow the beginning of a response.
+            logger.exception("response failed")
+            raise IncompleteResponse(f"internal error: {error!r}") from error
         finally:
             await reply.chunks.aclose()
         return response
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
@@ -15,6 +15,7 @@
 from ebonyglade.verdict import Refusal, refuse
 from ebonyglade_entry import completions, headers, paths, responses
 from ebonyglade_entry.completions import API_FORMATS, ParsedRequest, ResponseWriter
+from ebonyglade_entry.cutting import cut_response
 from ebonyglade_entry.drain import RequestDrainer, ServingState
 from ebonyglade_entry.settings import HttpSection
 from ebonyglade_node.runtime import Node, loop_clock
@@ -216,12 +217,19 @@
                 # A caller that does not read must not hold a slot forever.
                 async with asyncio.timeout(self._section.write_timeout_s):
                     await response.write(event)
+            await response.write_eof()
         except TimeoutError:
             self._node.metrics.count("callers_too_slow")
-            request.transport.abort()
+            cut_response(request)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            # A refusal can't follow the beginning of a response.
+            logger.exception("response failed", extra={"request": call.id})
+            cut_response(request)
+            raise ConnectionResetError("response ended early") from error
         finally:
             await events.aclose()
-        await response.write_eof()
         return response
 
     async def _sse_events(
--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -1,9 +1,12 @@
 """Answers that endpoints break off, with each framing, through an entry over HTTP."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
 from ebonyglade.completeness import Framing
+from ebonyglade.forward.events import EventSplitter
 from helpers.forwarding_path import MODEL, forwarding_setup
 from helpers.scripted_answers import ScriptedAnswer
 
@@ -60,3 +63,48 @@
         answer = ScriptedAnswer(framing, WHOLE, end="reset")
         with pytest.raises(aiohttp.ClientError):
             await ask_for_stream(setup, answer)
+
+
+async def read_raw_answer(setup, target, version="1.0"):
+    """Return all bytes that a caller of an older version of HTTP gets."""
+    host, _, port = setup.base.removeprefix("http://").partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    headers = {"Host": "h.example", "X-Request-Id": "id-1", "Api-Key": "key-1"} | MODEL
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"GET {target} HTTP/{version}\r\n{lines}\r\n".encode())
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+# Such a caller gets no chunks: a connection that is closed in order looks like the end.
+async def test_a_cut_stream_ends_in_a_reset_for_a_caller_without_chunks():
+    async with forwarding_setup() as setup:
+        answer = ScriptedAnswer(Framing.CHUNKS, (*WHOLE, CUT), interval_s=0.05)
+        setup.workers["decode"].answer = answer
+        with pytest.raises(ConnectionResetError):
+            await read_raw_answer(setup, "/write/x")
+
+
+async def test_a_whole_stream_ends_in_order_for_a_caller_without_chunks():
+    async with forwarding_setup() as setup:
+        setup.workers["decode"].answer = ScriptedAnswer(Framing.CHUNKS, WHOLE)
+        received = await read_raw_answer(setup, "/write/x")
+        assert received.startswith(b"HTTP/1.0 200")
+        assert received.endswith(b"".join(WHOLE))
+
+
+# A refusal that follows the beginning of a stream would be read as a part of it.
+async def test_an_internal_error_within_a_stream_cuts_it(monkeypatch):
+    def feed(splitter, data):
+        if b"id: 2" in data:
+            raise RuntimeError("injected")
+        return data
+
+    async with forwarding_setup() as setup:
+        monkeypatch.setattr(EventSplitter, "feed", feed)
+        answer = ScriptedAnswer(Framing.CHUNKS, WHOLE, interval_s=0.05)
+        setup.workers["decode"].answer = answer
+        with pytest.raises(ConnectionResetError):
+            await read_raw_answer(setup, "/write/x")
