Limit answers in time to their last byte

Callers of a plain route whose endpoint sent headers and then fell silent waited until they gave up themselves: only the headers of plain answers, prefills and error answers of model endpoints had a limit of time. An answer now has what its attempt has; an idempotent request is read from another endpoint after it, a booking ends with 504 and is not sent again. A stream without a first event in time counts as a failure of its endpoint and is logged like other incomplete answers.

--- a/packages/ebonyglade/src/ebonyglade/completeness.py
+++ b/packages/ebonyglade/src/ebonyglade/completeness.py
@@ -20,6 +20,7 @@
     AS_FRAMED = "as_framed"
     EARLY = "early"  # the connection was closed before the end that the framing marks
     RESET = "reset"  # the connection failed
+    LATE = "late"  # its time limit passed
 
 
 class Content(Enum):
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from ebonyglade.bodies import read_document
-from ebonyglade.completeness import IncompleteResponse
+from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.call import (
     AttemptFailure,
@@ -176,14 +176,46 @@
             return refuse("answer_broken")
         return refuse("endpoint_failed")
 
-    def record_broken_response(
+    async def read_document(
+        self,
+        call: ForwardCall,
+        endpoint: Endpoint,
+        response: EndpointResponse,
+        timeout_s: float,
+        runs_request: bool = True,
+    ) -> Result[bytes, AttemptFailure]:
+        """Read a response that is passed on as a whole, and record if it fails.
+
+        Args:
+            call: the request.
+            endpoint: the endpoint that responds.
+            response: its response.
+            timeout_s: seconds within which the body must be complete.
+            runs_request: whether the endpoint ran the request, so that a failure
+                counts for its verdict.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                return Ok(await read_document(response.body))
+        except TimeoutError:
+            error = IncompleteResponse("the body was not complete in time", Ending.LATE)
+        except IncompleteResponse as caught:
+            error = caught
+        finally:
+            response.close()
+        failure = self.record_incomplete(call, endpoint, response, error)
+        if runs_request:
+            call.verdict = combine_verdicts(call.verdict, failure.verdict)
+        return Err(failure)
+
+    def record_incomplete(
         self,
         call: ForwardCall,
         endpoint: Endpoint,
         response: EndpointResponse,
         error: IncompleteResponse,
     ) -> AttemptFailure:
-        """Record a response that ended early; the request may have run."""
+        """Record a response that ended before it was complete."""
         self.count(f"responses_incomplete_{error.cause.value}")
         logger.info(
             "response incomplete",
@@ -196,22 +228,19 @@
                 "reason": str(error),
             },
         )
-        return self._record_unusable_response(call, endpoint, "response ended early")
+        self.loads.record_outcome(endpoint.id, True, self.clock())
+        late = error.cause is Ending.LATE
+        return AttemptFailure(
+            FailureKind.LATE if late else FailureKind.BROKEN, str(error)
+        )
 
     def record_encoded_response(
         self, call: ForwardCall, endpoint: Endpoint
     ) -> AttemptFailure:
         """Record a response with an encoding that was not requested."""
-        return self._record_unusable_response(
-            call, endpoint, "unrequested content encoding"
-        )
-
-    def _record_unusable_response(
-        self, call: ForwardCall, endpoint: Endpoint, reason: str
-    ) -> AttemptFailure:
         self.loads.record_outcome(endpoint.id, True, self.clock())
         call.verdict = combine_verdicts(call.verdict, Verdict.MAY_HAVE_RUN)
-        return AttemptFailure(FailureKind.BROKEN, reason)
+        return AttemptFailure(FailureKind.BROKEN, "unrequested content encoding")
 
     def _record_outcome(
         self,
@@ -285,13 +314,3 @@
     FailureKind.BROKEN: AttemptSender._on_late_or_broken,
     FailureKind.LATE: AttemptSender._on_late_or_broken,
 }
-
-
-async def read_body(response: EndpointResponse) -> Result[bytes, IncompleteResponse]:
-    """Return a response's body; Err if it ended early."""
-    try:
-        return Ok(await read_document(response.body))
-    except IncompleteResponse as error:
-        return Err(error)
-    finally:
-        response.close()
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -10,9 +10,9 @@
 
 from result import Err, Ok, Result
 
-from ebonyglade.completeness import IncompleteResponse
+from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.agent_client import AgentClient
-from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender, read_body
+from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender
 from ebonyglade.forward.call import (
     AttemptFailure,
     CompleteResponse,
@@ -25,6 +25,7 @@
 from ebonyglade.forward.prefiller import Prefiller, PrefillSource
 from ebonyglade.forward.reserver import MemoryReservation, Reserver
 from ebonyglade.forward.streams import EventReader, StreamStats
+from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Verdict, combine_verdicts
 
 # Limit for the response headers, and again from them to the first event.
@@ -150,43 +151,46 @@
         """
         attempts = self.attempts
         headers = attempts.adapter.response_headers(response.headers)
+        timeout_s = min(attempts.remaining_s(call), FIRST_EVENT_TIMEOUT_S)
         if response.status >= 300 or response.metadata.encoded:
-            body = await read_body(response)
+            body = await attempts.read_document(
+                call, reservation.endpoint, response, timeout_s
+            )
             if isinstance(body, Err):
-                failure = body.err_value
-                return Err(
-                    attempts.record_broken_response(
-                        call, reservation.endpoint, response, failure
-                    )
-                )
+                return body
             if response.metadata.encoded:
                 return Err(attempts.record_encoded_response(call, reservation.endpoint))
             return Ok(CompleteResponse(response.status, headers, body.ok_value))
         events = EventReader(response)
         try:
-            async with asyncio.timeout(
-                min(attempts.remaining_s(call), FIRST_EVENT_TIMEOUT_S)
-            ):
+            async with asyncio.timeout(max(0.0, timeout_s)):
                 first = await events.next_events()
         except TimeoutError:
-            response.close()
-            call.verdict = combine_verdicts(call.verdict, Verdict.MAY_HAVE_RUN)
-            return Err(AttemptFailure(FailureKind.LATE, "no first event"))
+            error = IncompleteResponse("no first event in time", Ending.LATE)
+            return Err(self._without_event(call, reservation.endpoint, response, error))
+        except IncompleteResponse as error:
+            return Err(self._without_event(call, reservation.endpoint, response, error))
         except asyncio.CancelledError:
             response.close()
             raise
-        except IncompleteResponse as error:
-            response.close()
-            return Err(
-                attempts.record_broken_response(
-                    call, reservation.endpoint, response, error
-                )
-            )
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
         attempts.crashes.record_success(call.fingerprint)
         chunks = self._stream_events(call, reservation, events, first)
         return Ok(StreamedResponse(response.status, headers, chunks))
 
+    def _without_event(
+        self,
+        call: ForwardCall,
+        endpoint: Endpoint,
+        response: EndpointResponse,
+        error: IncompleteResponse,
+    ) -> AttemptFailure:
+        """Record a stream of which nothing was passed on; it may have run."""
+        response.close()
+        failure = self.attempts.record_incomplete(call, endpoint, response, error)
+        call.verdict = combine_verdicts(call.verdict, failure.verdict)
+        return failure
+
     async def _stream_events(
         self,
         call: ForwardCall,
--- a/packages/ebonyglade/src/ebonyglade/forward/plain.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/plain.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender, read_body
+from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender
 from ebonyglade.forward.call import AttemptFailure, CompleteResponse, ForwardCall, Reply
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Verdict
@@ -66,6 +66,7 @@
             timeout_s = max(
                 timeout_s * RETRYABLE_ATTEMPT_SHARE, min(timeout_s, call.route.target_s)
             )
+        until = attempts.clock() + timeout_s
         attempts.loads.request_started(endpoint.id)
         try:
             instructions = attempts.instructions_for(call, endpoint)
@@ -73,12 +74,11 @@
             if isinstance(sent, Err):
                 return sent
             response = sent.ok_value
-            body = await read_body(response)
+            body = await attempts.read_document(
+                call, endpoint, response, until - attempts.clock()
+            )
             if isinstance(body, Err):
-                failure = body.err_value
-                return Err(
-                    attempts.record_broken_response(call, endpoint, response, failure)
-                )
+                return body
             if response.metadata.encoded:
                 return Err(attempts.record_encoded_response(call, endpoint))
             attempts.crashes.record_success(call.fingerprint)
--- a/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
@@ -7,13 +7,13 @@
 from result import Err
 
 from ebonyglade.forward.agent_client import AgentClient
-from ebonyglade.forward.attempts import AttemptSender, read_body
+from ebonyglade.forward.attempts import AttemptSender
 from ebonyglade.forward.call import ForwardCall
 from ebonyglade.forward.types import Endpoint, Prefilled, Stage
 
 logger = logging.getLogger(__name__)
 
-PREFILL_TIMEOUT_S = 1.5  # limit for the response headers of a prefill
+PREFILL_TIMEOUT_S = 1.5  # limit for the whole response of a prefill
 # After these attempts the decode endpoint prefills the prompt itself.
 MAX_PREFILL_ATTEMPTS = 2
 MAX_LEASE_WAIT_S = 1.4  # the memory reservation must not expire meanwhile
@@ -89,6 +89,7 @@
     ) -> PrefillSource | None:
         attempts = self.attempts
         timeout_s = min(PREFILL_TIMEOUT_S, attempts.remaining_s(call))
+        until = attempts.clock() + timeout_s
         instructions = replace(
             attempts.instructions_for(call, endpoint), prefill_only=True
         )
@@ -100,15 +101,18 @@
             if isinstance(sent, Err):
                 return None
             response = sent.ok_value
-            body = await read_body(response)
-            if isinstance(body, Err) or response.status != 200:
+            body = await attempts.read_document(
+                call, endpoint, response, until - attempts.clock(), runs_request=False
+            )
+            if isinstance(body, Err):
+                return None
+            if response.status != 200:
                 logger.info(
                     "prefill failed",
                     extra={
                         "request": call.id,
                         "endpoint": endpoint.id,
                         "status": response.status,
-                        "reason": str(body.err_value) if body.is_err() else "",
                     },
                 )
                 return None
--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -7,7 +7,7 @@
 
 from ebonyglade.completeness import Framing
 from ebonyglade.forward.events import EventSplitter
-from helpers.forwarding_path import MODEL, forwarding_setup
+from helpers.forwarding_path import MODEL, forwarding_setup, received
 from helpers.scripted_answers import ScriptedAnswer
 
 WHOLE = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
@@ -108,3 +108,61 @@
         setup.workers["decode"].answer = answer
         with pytest.raises(ConnectionResetError):
             await read_raw_answer(setup, "/write/x")
+
+
+async def ask_timed(setup, *arguments, **options):
+    """Return the status of an answer and the seconds that it took."""
+    started = asyncio.get_running_loop().time()
+    status, _, _ = await setup.ask(*arguments, **options)
+    return status, asyncio.get_running_loop().time() - started
+
+
+# Only the headers of an answer had a limit of time.
+@framings
+async def test_a_body_that_falls_silent_is_refused_at_the_timeout_of_its_route(framing):
+    async with forwarding_setup() as setup:
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(framing, (b"a",), end="silent")
+        status, seconds = await ask_timed(setup, "/slow/x")
+        assert status == 504
+        assert 0.2 < seconds < 0.6
+
+
+async def test_a_body_that_falls_silent_is_read_from_another_endpoint():
+    async with forwarding_setup() as setup:
+        silent = ScriptedAnswer(Framing.LENGTH, (b"a",), end="silent")
+        setup.workers["plain-1"].answer = silent
+        answers = [await ask_timed(setup, "/read/x") for _ in range(4)]
+        assert [status for status, _ in answers] == [200] * 4
+        assert max(seconds for _, seconds in answers) < 2.0
+
+
+async def test_a_booking_whose_body_falls_silent_is_not_sent_again():
+    async with forwarding_setup() as setup:
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(
+                Framing.LENGTH, (b"a",), end="silent"
+            )
+        status, seconds = await ask_timed(setup, "/book/x", "POST", body=b"seat")
+        assert status == 504
+        assert seconds < 2.5
+        assert len(received(setup)) == 1
+
+
+# The decode endpoint prefills the prompt itself after two failed attempts.
+async def test_a_prefill_whose_body_falls_silent_is_given_up():
+    async with forwarding_setup() as setup:
+        silent = ScriptedAnswer(Framing.LENGTH, (b"{",), end="silent")
+        setup.workers["prefill"].prefill_answer = silent
+        status, seconds = await ask_timed(setup, "/write/x", "POST", body=b"p", **MODEL)
+        assert status == 200
+        assert seconds < 3.0
+
+
+async def test_an_error_of_a_model_endpoint_that_falls_silent_is_refused():
+    async with forwarding_setup() as setup:
+        silent = ScriptedAnswer(Framing.LENGTH, (b"{",), end="silent", status=500)
+        setup.workers["decode"].answer = silent
+        status, seconds = await ask_timed(setup, "/write/x", "POST", body=b"p", **MODEL)
+        assert status in (502, 504)
+        assert seconds < 4.5
--- a/tests/helpers/scripted_answers.py
+++ b/tests/helpers/scripted_answers.py
@@ -22,12 +22,15 @@
             that; "reset"; "silent": nothing more comes; "endless": the last part is
             repeated until the connection is closed.
         interval_s: seconds before each part.
+        status: HTTP status.
+        sent: bytes of the body that were written.
     """
 
     framing: Framing
     parts: tuple[bytes, ...]
     end: str = "kept"
     interval_s: float = 0.0
+    status: int = 200
     sent: int = 0
 
     async def send(self, request, headers):
@@ -59,7 +62,7 @@
         }
         lines = {**headers, **framing_headers[self.framing]}.items()
         fields = "".join(f"{name}: {value}\r\n" for name, value in lines)
-        return f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode()
+        return f"HTTP/1.1 {self.status} X\r\n{fields}\r\n".encode()
 
     def _stated_length(self):
         length = sum(len(part) for part in self.parts)
