Limit answers in bytes, each one and all that an entry holds together

An endpoint whose answer has no end took an entry's memory: a plain body, a prefill and an unfinished event were collected for as long as they came.

Limits: 8 MiB a document, 1 MiB an event, 32 MiB of all together (settings [responses]). 16 kB are granted to each request whatever others hold, so that large answers do not refuse small ones; an answer that found no memory here does not count against its endpoint. Large bodies are written as fast as their caller reads, without another copy. Control calls read 1 MiB at most, pages of the store 16 MiB.

Ruled out: waiting for memory instead of failing, since answers under way would wait for each other; passing long bodies on unread, since a broken one could not be retried.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -3,13 +3,13 @@
 import asyncio
 import logging
 
-import aiohttp
 from mode import Service
 
 from ebonyglade.audit import AuditTrail
 from ebonyglade.forward.agent import ForwardAgent, StageOrder
 from ebonyglade.forward.store_replica import log_store_change
 from ebonyglade_agent.staging.settings import StagingSettings
+from ebonyglade_node.endpoint_client import CALL_ERRORS
 from ebonyglade_node.forward_node import ForwardNode
 
 logger = logging.getLogger(__name__)
@@ -55,7 +55,7 @@
             try:
                 await self._poll_once(section.address)
                 self._set_reachable(True)
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            except (*CALL_ERRORS, ValueError) as error:
                 self._set_reachable(False, str(error) or type(error).__name__)
 
     async def _poll_once(self, address: str) -> None:
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -7,6 +7,7 @@
 from mode import Service
 from result import Err, Ok, Result
 
+from ebonyglade.bodies import BufferLease
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.call import CompleteResponse, ForwardCall, StreamedResponse
 from ebonyglade.forward.entry import ForwardEntry
@@ -22,6 +23,7 @@
 # any published limit.
 PARSER_LIMIT_BYTES = 64 * 1024
 KEEPALIVE_TIMEOUT_S = 75.0  # idle time after which a caller's connection is closed
+WRITE_PART_BYTES = 64 * 1024  # of a large body, written at a time
 BODY_TIMEOUT_S = 10.0  # for the whole request body
 # The load balancer polls readiness once a second and removes an entry after two
 # failed polls; until then new requests are still served.
@@ -153,6 +155,8 @@
                 request, refuse("internal"), call.id if call else ""
             )
         finally:
+            if call is not None:
+                call.buffers.release()
             self.drainer.request_finished()
             self._active_handlers.discard(request.protocol)
             self._log_request(request, call, started, outcome)
@@ -186,6 +190,7 @@
                 headers=headers,
                 body=body.ok_value,
                 arrived_at=started,
+                buffers=BufferLease(self._entry.buffers),
             )
         )
 
@@ -193,6 +198,8 @@
         self, request: web.Request, reply: CompleteResponse | StreamedResponse
     ) -> web.StreamResponse:
         if isinstance(reply, CompleteResponse):
+            if len(reply.body) > WRITE_PART_BYTES:
+                return await self._write_large_body(request, reply)
             response = web.Response(status=reply.status, body=reply.body)
             _set_headers(response, reply.headers)
             self._close_if_stopping(response)
@@ -215,6 +222,20 @@
             await reply.chunks.aclose()
         return response
 
+    async def _write_large_body(
+        self, request: web.Request, reply: CompleteResponse
+    ) -> web.StreamResponse:
+        """Write a body as fast as its caller reads it, without another copy of it."""
+        response = web.StreamResponse(status=reply.status)
+        _set_headers(response, reply.headers)
+        response.content_length = len(reply.body)
+        self._close_if_stopping(response)
+        await response.prepare(request)
+        for start in range(0, len(reply.body), WRITE_PART_BYTES):
+            await response.write(reply.body[start : start + WRITE_PART_BYTES])
+        await response.write_eof()
+        return response
+
     def _close_if_stopping(self, response: web.StreamResponse) -> None:
         if self.drainer.state is not ServingState.OPEN:
             # Closing a keep-alive connection makes the caller connect to another entry.
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -47,6 +47,7 @@
             ),
             capacity=self._settings.instance.link_mbps,
             max_outdated_s=OUTDATED_SHARE * bounds.apply_ms / 1000,
+            bodies=self._settings.responses.body_limits(),
         )
         self.entry = ForwardEntry(
             self.node.context,
@@ -63,6 +64,8 @@
             "waiting", self.entry.generation_dispatcher.reserver.waiting_requests
         )
         metrics.gauge("open_requests", lambda: self.server.drainer.open_requests)
+        metrics.gauge("buffered_bytes", lambda: self.entry.buffers.used)
+        metrics.gauge("buffered_bytes_peak", lambda: self.entry.buffers.peak)
         metrics.gauge("members", lambda: len(self.entry.members.all()))
         await self.node.join(self.entry.replica_sync, self.entry.members)
         self.entry.start()
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/settings.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/settings.py
@@ -2,6 +2,7 @@
 
 from pydantic import Field, field_validator
 
+from ebonyglade.bodies import DEFAULT_LIMITS, BodyLimits
 from ebonyglade_node.forward_settings import ForwardNodeSettings
 from ebonyglade_node.settings import Section, numeric_address
 
@@ -27,7 +28,28 @@
         return numeric_address(f"tcp://{value}").removeprefix("tcp://")
 
 
+class ResponsesSection(Section):
+    """Limits of endpoints' responses.
+
+    Attributes:
+        document_bytes: largest body that is passed on as a whole; a larger one is
+            refused with `answer_broken`.
+        event_bytes: largest event of a stream; a larger one cuts the stream.
+        buffered_bytes: memory for bodies and unfinished events of all open requests
+            together; at least 16 kB are granted to each request.
+    """
+
+    document_bytes: int = Field(default=DEFAULT_LIMITS.document_bytes, gt=0)
+    event_bytes: int = Field(default=DEFAULT_LIMITS.event_bytes, gt=0)
+    buffered_bytes: int = Field(default=DEFAULT_LIMITS.buffered_bytes, gt=0)
+
+    def body_limits(self) -> BodyLimits:
+        """Return the limits for the library."""
+        return BodyLimits(self.document_bytes, self.event_bytes, self.buffered_bytes)
+
+
 class ForwardSettings(ForwardNodeSettings):
     """All sections of a forwarding entry's settings file."""
 
     listen: ListenSection
+    responses: ResponsesSection = ResponsesSection()
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -17,18 +17,30 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from ebonyglade.bodies import MIB, BufferLease, read_document
+from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
-from ebonyglade_node.http_bodies import ResetCheckingConnector, ResetCheckingHandler
+from ebonyglade_node.http_bodies import (
+    ResetCheckingConnector,
+    ResetCheckingHandler,
+    body_of,
+)
 
 # A connection is closed if sent data stays unacknowledged for this time.
 UNACKED_TIMEOUT_MS = 1500
 IDLE_TIMEOUT_S = 8.0  # idle time after which a connection is not reused
 IDLE_MARGIN_S = 0.8  # reuse ends this long before the endpoint's Keep-Alive timeout
 MAX_HEADER_LINE_BYTES = 64 * 1024
+MAX_CONTROL_BYTES = MIB  # reports and reservations have some kilobytes
+MAX_STORE_PAGE_BYTES = 16 * MIB  # a value has up to 1 MiB, a page some hundred of them
 # Headers that aiohttp would add where the caller sent none.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
+# How a control call fails.
+CALL_ERRORS = (aiohttp.ClientError, IncompleteResponse, TimeoutError, OSError)
+
+
 class NotSent(aiohttp.ClientError):
     """A request was aborted before its first byte was sent."""
 
@@ -215,15 +227,17 @@
         """Make a control call, which runs no request; return its response.
 
         Raises:
-            aiohttp.ClientError: there is no complete response.
+            aiohttp.ClientError: there is no response.
+            IncompleteResponse: it is not complete, or too large.
             TimeoutError: the response was not complete within `timeout_s`.
         """
         async with asyncio.timeout(timeout_s):
             response = await self._start_call(address, call)
             async with response:
-                return ControlResponse(
-                    response.status, response.headers, await response.read()
+                body = await read_document(
+                    body_of(response), MAX_CONTROL_BYTES, BufferLease()
                 )
+                return ControlResponse(response.status, response.headers, body)
 
     async def call_while_progressing(
         self,
@@ -243,7 +257,8 @@
             on_data: called with the number of bytes of each part of the body.
 
         Raises:
-            aiohttp.ClientError: there is no complete response.
+            aiohttp.ClientError: there is no response.
+            IncompleteResponse: it is not complete, or too large.
             TimeoutError: nothing arrived within one of the limits.
         """
         loop = asyncio.get_running_loop()
@@ -256,11 +271,10 @@
             response = await self._start_call(address, call)
             async with response:
                 extend(0)
-                body = bytearray()
-                async for part in response.content.iter_any():
-                    body += part
-                    extend(len(part))
-                return ControlResponse(response.status, response.headers, bytes(body))
+                body = await read_document(
+                    body_of(response), MAX_STORE_PAGE_BYTES, BufferLease(), extend
+                )
+                return ControlResponse(response.status, response.headers, body)
 
     async def _start_call(
         self, address: str, call: ControlCall
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -19,7 +19,12 @@
     Endpoint,
     EndpointInstructions,
 )
-from ebonyglade_node.endpoint_client import EndpointClient, NotSent, SendAttempt
+from ebonyglade_node.endpoint_client import (
+    CALL_ERRORS,
+    EndpointClient,
+    NotSent,
+    SendAttempt,
+)
 from ebonyglade_node.http_bodies import body_of, describe
 
 NOT_CONNECTED_ERRORS = (
@@ -72,7 +77,7 @@
         """Make a control call, which runs no request."""
         try:
             return Ok(await self.client.call(endpoint.address, call, timeout_s))
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except CALL_ERRORS as error:
             return Err(AttemptFailure(FailureKind.LOST, describe(error)))
 
     def _to_result(
--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Callable
 
-import aiohttp
 from mode import Service
 
 from ebonyglade.forward.adapter import Adapter
@@ -18,7 +17,7 @@
     StoreVersion,
 )
 from ebonyglade.ports import Clock
-from ebonyglade_node.endpoint_client import EndpointClient
+from ebonyglade_node.endpoint_client import CALL_ERRORS, EndpointClient
 from ebonyglade_node.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -96,7 +95,7 @@
             try:
                 await step()
                 delay = RETRY_S
-            except (StoreUnavailable, aiohttp.ClientError, TimeoutError) as error:
+            except (StoreUnavailable, *CALL_ERRORS) as error:
                 self._record_failure(error)
                 delay = min(delay, self._longest_delay())
                 await asyncio.sleep(delay * random.uniform(0.5, 1.0))
--- a/packages/ebonyglade/src/ebonyglade/bodies.py
+++ b/packages/ebonyglade/src/ebonyglade/bodies.py
@@ -1,7 +1,7 @@
 """Reading of response bodies to their end, independent of how they are received."""
 
-from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
 
 from ebonyglade.completeness import (
     Content,
@@ -11,6 +11,73 @@
     is_complete,
 )
 
+KIB = 1024
+MIB = 1024 * KIB
+# Held for every request, so that a few large answers do not take the memory of all.
+ALWAYS_GRANTED_BYTES = 16 * KIB
+
+
+@dataclass(frozen=True, slots=True)
+class BodyLimits:
+    """Limits of the bodies that a process reads, in bytes.
+
+    Attributes:
+        document_bytes: of a body that is passed on as a whole.
+        event_bytes: of one event of a stream.
+        buffered_bytes: of all bodies and unfinished events that are held at a time,
+            apart from the small ones.
+    """
+
+    document_bytes: int = 8 * MIB
+    event_bytes: int = MIB
+    buffered_bytes: int = 32 * MIB
+
+
+DEFAULT_LIMITS = BodyLimits()
+
+
+@dataclass(slots=True)
+class BufferBudget:
+    """Memory for bodies that a process holds, over all of its requests.
+
+    Attributes:
+        max_bytes: most bytes to hold.
+        used: bytes that are held.
+        peak: most bytes that were held at a time.
+    """
+
+    max_bytes: int = DEFAULT_LIMITS.buffered_bytes
+    used: int = 0
+    peak: int = 0
+
+
+@dataclass(slots=True)
+class BufferLease:
+    """One request's part of the memory for bodies; released at its end.
+
+    Attributes:
+        budget: memory of the process.
+        held: bytes that this request holds.
+    """
+
+    budget: BufferBudget = field(default_factory=BufferBudget)
+    held: int = 0
+
+    def hold(self, size: int) -> bool:
+        """Change the bytes held; False if there is no memory for more."""
+        used = self.budget.used + size - self.held
+        small = size <= max(self.held, ALWAYS_GRANTED_BYTES)
+        if used > self.budget.max_bytes and not small:
+            return False
+        self.budget.used = used
+        self.budget.peak = max(self.budget.peak, used)
+        self.held = size
+        return True
+
+    def release(self) -> None:
+        """Release all bytes."""
+        self.hold(0)
+
 
 @dataclass(slots=True)
 class Body:
@@ -34,12 +101,41 @@
             raise IncompleteResponse(f"the body ends with {content.value}", content)
 
 
-async def read_document(body: Body) -> bytes:
-    """Return the bytes of a complete body.
+def require_size(size: int, max_bytes: int, lease: BufferLease) -> None:
+    """Hold the bytes read so far of a document or an event.
+
+    Raises:
+        IncompleteResponse: they are too many, or there is no memory for them.
+    """
+    if size > max_bytes:
+        raise IncompleteResponse(f"over {max_bytes} bytes", Ending.LIMIT)
+    if not lease.hold(size):
+        raise IncompleteResponse("no memory left for bodies", Ending.NO_MEMORY)
+
+
+async def read_document(
+    body: Body,
+    max_bytes: int,
+    lease: BufferLease,
+    on_part: Callable[[int], None] | None = None,
+) -> bytes:
+    """Return the bytes of a complete body; the lease holds them after it.
+
+    Args:
+        body: the body.
+        max_bytes: limit of its size.
+        lease: holds the memory.
+        on_part: called with the size of each part.
 
     Raises:
-        IncompleteResponse: it is not complete.
+        IncompleteResponse: it is not complete, or larger than a limit.
     """
-    parts = [part async for part in body.parts]
+    parts, size = [], 0
+    async for part in body.parts:
+        size += len(part)
+        require_size(size, max_bytes, lease)
+        parts.append(part)
+        if on_part is not None:
+            on_part(len(part))
     body.require_complete(Content.DOCUMENT)
     return b"".join(parts)
--- a/packages/ebonyglade/src/ebonyglade/completeness.py
+++ b/packages/ebonyglade/src/ebonyglade/completeness.py
@@ -21,6 +21,8 @@
     EARLY = "early"  # the connection was closed before the end that the framing marks
     RESET = "reset"  # the connection failed
     LATE = "late"  # its time limit passed
+    LIMIT = "limit"  # it was larger than a limit
+    NO_MEMORY = "no_memory"  # this process had no memory left for it
 
 
 class Content(Enum):
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from ebonyglade.bodies import read_document
+from ebonyglade.bodies import DEFAULT_LIMITS, BodyLimits, read_document
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.call import (
@@ -56,6 +56,7 @@
         zone: this instance's availability zone.
         count_entries: returns the number of entries in the fleet.
         count: adds to a named counter.
+        limits: limits of endpoints' answers.
     """
 
     adapter: Adapter
@@ -69,6 +70,7 @@
     zone: str
     count_entries: Callable[[], int]
     count: Callable[..., None]
+    limits: BodyLimits = DEFAULT_LIMITS
     _background_tasks: set[asyncio.Task] = field(default_factory=set)
 
     def choose(
@@ -196,13 +198,18 @@
         """
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
-                return Ok(await read_document(response.body))
+                return Ok(
+                    await read_document(
+                        response.body, self.limits.document_bytes, call.buffers
+                    )
+                )
         except TimeoutError:
             error = IncompleteResponse("the body was not complete in time", Ending.LATE)
         except IncompleteResponse as caught:
             error = caught
         finally:
             response.close()
+        call.buffers.release()
         failure = self.record_incomplete(call, endpoint, response, error)
         if runs_request:
             call.verdict = combine_verdicts(call.verdict, failure.verdict)
@@ -228,7 +235,8 @@
                 "reason": str(error),
             },
         )
-        self.loads.record_outcome(endpoint.id, True, self.clock())
+        if error.cause is not Ending.NO_MEMORY:
+            self.loads.record_outcome(endpoint.id, True, self.clock())
         late = error.cause is Ending.LATE
         return AttemptFailure(
             FailureKind.LATE if late else FailureKind.BROKEN, str(error)
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from ebonyglade.bodies import Body
+from ebonyglade.bodies import Body, BufferLease
 from ebonyglade.forward.types import (
     ControlCall,
     ControlResponse,
@@ -47,6 +47,7 @@
         verdict: worst verdict of all attempts so far.
         endpoints: ids of the endpoints that it was sent to, in order.
         may_send: checked immediately before each attempt is sent.
+        buffers: holds the memory of the answer until it was passed on.
     """
 
     metadata: RequestMetadata
@@ -66,6 +67,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     endpoints: list[str] = field(default_factory=list)
     may_send: Callable[[], bool] = field(default=lambda: True)
+    buffers: BufferLease = field(default_factory=BufferLease)
 
     @property
     def id(self) -> str:
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from ebonyglade.audit import AuditTrail
+from ebonyglade.bodies import DEFAULT_LIMITS, BodyLimits, BufferBudget
 from ebonyglade.context import Context
 from ebonyglade.forward import routing_table as routing_tables
 from ebonyglade.forward.adapter import Adapter
@@ -58,6 +59,7 @@
         capacity: rate of this machine's network link in Mbit/s; 0 if not known.
         max_outdated_s: time for which requests are admitted by a configuration while
             a newer one is known to be in force at another member.
+        bodies: limits of endpoints' answers.
     """
 
     max_key_age_s: float | None
@@ -65,6 +67,7 @@
     rates: RateTolerance
     capacity: float = 0.0
     max_outdated_s: float = float("inf")
+    bodies: BodyLimits = DEFAULT_LIMITS
 
 
 class ForwardEntry:
@@ -87,6 +90,7 @@
         self.crashes = CrashCounts()
         self.first_attempts = FirstAttempts()
         self.loads = EndpointLoads()
+        self.buffers = BufferBudget(limits.bodies.buffered_bytes)
         self.members = FleetMembers(
             context, seeds, self._compose_heartbeat, limits.capacity
         )
@@ -106,6 +110,7 @@
             zone=context.identity.zone,
             count_entries=self.members.entry_count,
             count=context.count,
+            limits=limits.bodies,
         )
         self.plain_dispatcher = PlainDispatcher(self.attempts)
         self.agent_client = AgentClient(context)
--- a/packages/ebonyglade/src/ebonyglade/forward/events.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/events.py
@@ -28,9 +28,9 @@
         return self._last_id
 
     @property
-    def remainder(self) -> bytes:
-        """Bytes after the last complete event."""
-        return bytes(self._buffer)
+    def remainder_size(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
 
     @property
     def content(self) -> Content:
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -161,7 +161,7 @@
             if response.metadata.encoded:
                 return Err(attempts.record_encoded_response(call, reservation.endpoint))
             return Ok(CompleteResponse(response.status, headers, body.ok_value))
-        events = EventReader(response)
+        events = EventReader(response, attempts.limits.event_bytes, call.buffers)
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
                 first = await events.next_events()
@@ -187,6 +187,7 @@
     ) -> AttemptFailure:
         """Record a stream of which nothing was passed on; it may have run."""
         response.close()
+        call.buffers.release()
         failure = self.attempts.record_incomplete(call, endpoint, response, error)
         call.verdict = combine_verdicts(call.verdict, failure.verdict)
         return failure
@@ -214,6 +215,7 @@
             raise IncompleteResponse("the deadline passed") from error
         finally:
             events.response.close()
+            call.buffers.release()
             self._finish(call, reservation)
             stats.log(call, reservation.endpoint.id, events)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
@@ -123,4 +123,5 @@
             logger.warning("invalid prefill response", extra={"reason": str(error)})
             return None
         finally:
+            call.buffers.release()
             attempts.loads.request_ended(endpoint.id)
--- a/packages/ebonyglade/src/ebonyglade/forward/streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/streams.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from ebonyglade.bodies import BufferLease, require_size
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import EndpointResponse, ForwardCall
 from ebonyglade.forward.events import EventSplitter
@@ -16,11 +17,15 @@
 
     Attributes:
         response: the response.
+        max_event_bytes: limit of one event.
+        buffers: holds the memory of an unfinished event.
         received: bytes received so far.
         ended: why the stream ended, for logs; "" before that.
     """
 
     response: EndpointResponse
+    max_event_bytes: int
+    buffers: BufferLease
     received: int = 0
     ended: str = ""
     _splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -28,7 +33,7 @@
     @property
     def unfinished_bytes(self) -> int:
         """Number of bytes after the last complete event."""
-        return len(self._splitter.remainder)
+        return self._splitter.remainder_size
 
     async def next_events(self) -> bytes:
         """Return the next complete events; empty at the end of a complete response.
@@ -41,14 +46,20 @@
                 data = await anext(self.response.body.parts, None)
                 if data is None:
                     return self._end_as_framed()
+                events = self._feed(data)
             except IncompleteResponse as error:
                 self.ended = error.cause.value
                 raise
-            self.received += len(data)
-            events = self._splitter.feed(data)
             if events:
                 return events
 
+    def _feed(self, data: bytes) -> bytes:
+        """Return the events that these bytes complete, and hold what remains."""
+        self.received += len(data)
+        events = self._splitter.feed(data)
+        require_size(self._splitter.remainder_size, self.max_event_bytes, self.buffers)
+        return events
+
     def _end_as_framed(self) -> bytes:
         """Return what follows the last event, if the stream is complete with it."""
         self.response.body.require_complete(self._splitter.content)
--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from ebonyglade.bodies import BodyLimits
 from ebonyglade.completeness import Framing
 from ebonyglade.forward.events import EventSplitter
 from helpers.forwarding_path import MODEL, forwarding_setup, received
@@ -12,6 +13,8 @@
 
 WHOLE = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 CUT = b"id: 3\ndata: ha"
+# What sockets and the client hold of a body that is not read on.
+UNREAD_BYTES = 8 * 1024 * 1024
 framings = pytest.mark.parametrize("framing", Framing, ids=lambda item: item.value)
 
 
@@ -166,3 +169,89 @@
         status, seconds = await ask_timed(setup, "/write/x", "POST", body=b"p", **MODEL)
         assert status in (502, 504)
         assert seconds < 4.5
+
+
+async def ask_endless(setup, answers, *arguments, **options):
+    """Return the status of an answer without end and the bytes that were read of it."""
+    status, _ = await ask_timed(setup, *arguments, **options)
+    await setup.until(lambda: not setup.entry.entry.buffers.used)
+    return status, sum(answer.sent for answer in answers)
+
+
+# Such a body used to be collected for as long as it came.
+@framings
+async def test_a_body_without_end_is_refused_and_its_memory_freed(framing):
+    async with forwarding_setup() as setup:
+        answers = [
+            ScriptedAnswer(framing, (b"x" * 65536,), "endless") for _ in range(2)
+        ]
+        setup.workers["plain-1"].answer, setup.workers["plain-2"].answer = answers
+        status, read = await ask_endless(setup, answers, "/read/x")
+        assert status == 502
+        assert read <= 2 * (BodyLimits().document_bytes + UNREAD_BYTES)
+
+
+async def test_a_prefill_without_end_is_given_up():
+    async with forwarding_setup() as setup:
+        endless = ScriptedAnswer(Framing.CONNECTION, (b"x" * 65536,), "endless")
+        setup.workers["prefill"].prefill_answer = endless
+        arguments = ("/write/x", "POST")
+        status, read = await ask_endless(setup, [endless], *arguments, **MODEL)
+        assert status == 200
+        assert read <= BodyLimits().document_bytes + UNREAD_BYTES
+
+
+# Nothing is passed on of an event that has not ended.
+@framings
+async def test_a_first_event_without_end_is_refused(framing):
+    async with forwarding_setup() as setup:
+        endless = ScriptedAnswer(framing, (b"data: x" * 8192,), "endless")
+        setup.workers["decode"].answer = endless
+        arguments = ("/write/x", "POST")
+        status, read = await ask_endless(setup, [endless], *arguments, **MODEL)
+        assert status == 502
+        assert read <= BodyLimits().event_bytes + UNREAD_BYTES
+
+
+async def test_a_later_event_without_end_cuts_the_stream():
+    async with forwarding_setup() as setup:
+        parts = (*WHOLE, b"data: x" * 8192)
+        endless = ScriptedAnswer(Framing.CHUNKS, parts, "endless")
+        with pytest.raises(aiohttp.ClientError):
+            await ask_for_stream(setup, endless)
+        await setup.until(lambda: not setup.entry.entry.buffers.used)
+        assert endless.sent <= BodyLimits().event_bytes + UNREAD_BYTES
+
+
+async def test_answers_without_end_share_one_limit_of_memory():
+    async with forwarding_setup() as setup:
+        setup.entry.entry.buffers.max_bytes = 2 * 1024 * 1024
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(
+                Framing.LENGTH, (b"x" * 65536,), "endless"
+            )
+        statuses = await asyncio.gather(
+            *(ask_timed(setup, "/book/x", "POST") for _ in range(6))
+        )
+        assert {status for status, _ in statuses} == {502}
+        assert setup.entry.entry.buffers.peak <= 2 * 1024 * 1024
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = None
+        assert (await setup.ask("/read/x"))[0] == 200
+
+
+async def test_a_large_answer_reaches_its_caller_whole():
+    async with forwarding_setup() as setup:
+        body = bytes(range(256)) * 8192
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(Framing.CHUNKS, (body,))
+        status, received_body, headers = await setup.ask("/read/x")
+        assert (status, received_body) == (200, body)
+        assert int(headers["Content-Length"]) == len(body)
+        await setup.until(lambda: not setup.entry.entry.buffers.used)
+
+
+async def test_small_answers_need_no_memory_that_large_ones_hold():
+    async with forwarding_setup() as setup:
+        setup.entry.entry.buffers.max_bytes = 0
+        assert (await setup.ask("/read/x"))[0] == 200
--- a/tests/forward/test_small_parts.py
+++ b/tests/forward/test_small_parts.py
@@ -1,4 +1,5 @@
 import random
+import time
 from itertools import product
 
 import pytest
@@ -37,7 +38,7 @@
     assert splitter.feed(b"id: 1\ndata: a\n") == b""
     assert splitter.feed(b"\nid: 2\nda") == b"id: 1\ndata: a\n\n"
     assert splitter.last_event_id == "1"
-    assert splitter.remainder == b"id: 2\nda"
+    assert splitter.remainder_size == len(b"id: 2\nda")
     assert splitter.feed(b"ta: b\r\n\r\n") == b"id: 2\ndata: b\r\n\r\n"
     assert splitter.last_event_id == "2"
 
@@ -60,6 +61,19 @@
     assert b"".join(parts) + splitter.take_remainder() == event
 
 
+# The bytes before were copied and searched again with each part that arrived.
+def test_the_cost_of_an_unfinished_event_grows_with_its_bytes_and_not_their_square():
+    def seconds(parts):
+        splitter = EventSplitter()
+        started = time.process_time()
+        for _ in range(parts):
+            splitter.feed(b"data: " + b"x" * 1018)
+        return time.process_time() - started
+
+    # Linear cost is 16 times that of the smaller size, quadratic cost 256 times.
+    assert seconds(16_000) < 64 * seconds(1000)
+
+
 @pytest.mark.parametrize(
     ("stream", "content"),
     [
