Cut an answer whose caller does not read at its deadline, visibly and counted

Limits now stand around each wait: for the endpoint's next events, and for the caller to read. A large body whose caller does not read is cut after ten seconds without progress and its memory freed. A stream that is broken off midway is counted by its cause, too.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from ebonyglade.bodies import BufferLease
-from ebonyglade.completeness import IncompleteResponse
+from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import CompleteResponse, ForwardCall, StreamedResponse
 from ebonyglade.forward.entry import ForwardEntry
 from ebonyglade.verdict import Refusal, refuse
@@ -24,6 +24,7 @@
 PARSER_LIMIT_BYTES = 64 * 1024
 KEEPALIVE_TIMEOUT_S = 75.0  # idle time after which a caller's connection is closed
 WRITE_PART_BYTES = 64 * 1024  # of a large body, written at a time
+CALLER_STALL_S = 10.0  # for a caller to read another part of a large body
 BODY_TIMEOUT_S = 10.0  # for the whole request body
 # The load balancer polls readiness once a second and removes an entry after two
 # failed polls; until then new requests are still served.
@@ -138,7 +139,7 @@
             if isinstance(reply, Err):
                 outcome = reply.err_value.code
                 return self._refusal_response(request, reply.err_value, call.id)
-            response = await self._respond(request, reply.ok_value)
+            response = await self._respond(request, call, reply.ok_value)
             outcome = f"status_{response.status}"
             return response
         except asyncio.CancelledError:
@@ -195,28 +196,38 @@
         )
 
     async def _respond(
-        self, request: web.Request, reply: CompleteResponse | StreamedResponse
+        self,
+        request: web.Request,
+        call: ForwardCall,
+        reply: CompleteResponse | StreamedResponse,
     ) -> web.StreamResponse:
-        if isinstance(reply, CompleteResponse):
-            if len(reply.body) > WRITE_PART_BYTES:
-                return await self._write_large_body(request, reply)
-            response = web.Response(status=reply.status, body=reply.body)
-            _set_headers(response, reply.headers)
-            self._close_if_stopping(response)
-            return response
+        if isinstance(reply, StreamedResponse):
+            return await self._write_stream(request, call, reply)
+        if len(reply.body) > WRITE_PART_BYTES:
+            return await self._write_large_body(request, reply)
+        response = web.Response(status=reply.status, body=reply.body)
+        _set_headers(response, reply.headers)
+        self._close_if_stopping(response)
+        return response
+
+    async def _write_stream(
+        self, request: web.Request, call: ForwardCall, reply: StreamedResponse
+    ) -> web.StreamResponse:
+        """Write a stream's events as they come, until the deadline of its request."""
         response = web.StreamResponse(status=reply.status)
         _set_headers(response, reply.headers)
         self._close_if_stopping(response)
         try:
             await response.prepare(request)
             async for chunk in reply.chunks:
-                await response.write(chunk)
+                left_s = call.deadline - self._node.context.clock()
+                await self._write(response, chunk, left_s)
             await response.write_eof()
         except (IncompleteResponse, ConnectionError):
             raise
         except Exception as error:
             # A refusal can't follow the beginning of a response.
-            logger.exception("response failed")
+            logger.exception("response failed", extra={"request": call.id})
             raise IncompleteResponse(f"internal error: {error!r}") from error
         finally:
             await reply.chunks.aclose()
@@ -232,10 +243,26 @@
         self._close_if_stopping(response)
         await response.prepare(request)
         for start in range(0, len(reply.body), WRITE_PART_BYTES):
-            await response.write(reply.body[start : start + WRITE_PART_BYTES])
+            part = reply.body[start : start + WRITE_PART_BYTES]
+            await self._write(response, part, CALLER_STALL_S)
         await response.write_eof()
         return response
 
+    async def _write(
+        self, response: web.StreamResponse, part: bytes, timeout_s: float
+    ) -> None:
+        """Write a part of a response.
+
+        Raises:
+            IncompleteResponse: the caller has not read enough of it in time.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await response.write(part)
+        except TimeoutError as error:
+            self._node.metrics.count("callers_too_slow")
+            raise IncompleteResponse("the caller does not read", Ending.LATE) from error
+
     def _close_if_stopping(self, response: web.StreamResponse) -> None:
         if self.drainer.state is not ServingState.OPEN:
             # Closing a keep-alive connection makes the caller connect to another entry.
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -203,22 +203,34 @@
         stats = StreamStats(clock(), clock())
         try:
             yield first
-            async with asyncio.timeout(max(0.0, self.attempts.remaining_s(call))):
-                while True:
-                    complete_events = await events.next_events()
-                    if not complete_events:
-                        break
-                    stats.record_events(clock())
-                    yield complete_events
+            while complete_events := await self._next_events(call, events):
+                stats.record_events(clock())
+                yield complete_events
             stats.complete = True
-        except TimeoutError as error:
-            raise IncompleteResponse("the deadline passed") from error
+        except IncompleteResponse as error:
+            if error.cause is not Ending.LATE:
+                self.attempts.record_incomplete(
+                    call, reservation.endpoint, events.response, error
+                )
+            raise
         finally:
             events.response.close()
             call.buffers.release()
             self._finish(call, reservation)
             stats.log(call, reservation.endpoint.id, events)
 
+    async def _next_events(self, call: ForwardCall, events: EventReader) -> bytes:
+        """Return the next events; empty at the end of a complete stream.
+
+        Raises:
+            IncompleteResponse: the stream is broken off, or the deadline passed.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, self.attempts.remaining_s(call))):
+                return await events.next_events()
+        except TimeoutError as error:
+            raise IncompleteResponse("the deadline passed", Ending.LATE) from error
+
     def _finish(self, call: ForwardCall, reservation: MemoryReservation) -> None:
         self.attempts.loads.request_ended(reservation.endpoint.id)
         self.reserver.run_ended(call, reservation)
--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -1,6 +1,8 @@
 """Answers that endpoints break off, with each framing, through an entry over HTTP."""
 
 import asyncio
+import socket
+from contextlib import asynccontextmanager
 
 import aiohttp
 import pytest
@@ -8,6 +10,7 @@
 from ebonyglade.bodies import BodyLimits
 from ebonyglade.completeness import Framing
 from ebonyglade.forward.events import EventSplitter
+from ebonyglade_entry.forwarding import server
 from helpers.forwarding_path import MODEL, forwarding_setup, received
 from helpers.scripted_answers import ScriptedAnswer
 
@@ -68,19 +71,34 @@
             await ask_for_stream(setup, answer)
 
 
-async def read_raw_answer(setup, target, version="1.0"):
+def raw_request(target, version):
+    headers = {"Host": "h.example", "X-Request-Id": "id-1", "Api-Key": "key-1"} | MODEL
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"GET {target} HTTP/{version}\r\n{lines}\r\n".encode()
+
+
+async def read_raw_answer(setup, target):
     """Return all bytes that a caller of an older version of HTTP gets."""
     host, _, port = setup.base.removeprefix("http://").partition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    headers = {"Host": "h.example", "X-Request-Id": "id-1", "Api-Key": "key-1"} | MODEL
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    writer.write(f"GET {target} HTTP/{version}\r\n{lines}\r\n".encode())
+    writer.write(raw_request(target, "1.0"))
     try:
         return await reader.read()
     finally:
         writer.close()
 
 
+@asynccontextmanager
+async def unread_answer(setup, target):
+    """Send a request and read nothing of its answer."""
+    host, _, port = setup.base.removeprefix("http://").partition(":")
+    with socket.socket() as opened:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        opened.connect((host, int(port)))
+        opened.sendall(raw_request(target, "1.1"))
+        yield
+
+
 # Such a caller gets no chunks: a connection that is closed in order looks like the end.
 async def test_a_cut_stream_ends_in_a_reset_for_a_caller_without_chunks():
     async with forwarding_setup() as setup:
@@ -255,3 +273,41 @@
     async with forwarding_setup() as setup:
         setup.entry.entry.buffers.max_bytes = 0
         assert (await setup.ask("/read/x"))[0] == 200
+
+
+# The time limit of a stream used to cancel whatever its handler was doing.
+async def test_a_stream_whose_caller_does_not_read_is_cut_at_its_deadline():
+    async with forwarding_setup() as setup:
+        event = b"data: " + b"x" * 65536 + b"\n\n"
+        setup.workers["decode"].answer = ScriptedAnswer(
+            Framing.CHUNKS, (event,), "endless"
+        )
+        metrics = setup.entry.node.metrics
+        started = asyncio.get_running_loop().time()
+        async with unread_answer(setup, "/write/x"):
+            await setup.until(lambda: metrics.counter("caller_responses_cut"), 4.5)
+            assert asyncio.get_running_loop().time() - started > 3.5
+        assert metrics.counter("callers_too_slow") == 1
+        assert setup.entry.entry.loads.in_flight("decode") == 0
+
+
+async def test_a_document_whose_caller_does_not_read_is_cut(monkeypatch):
+    monkeypatch.setattr(server, "CALLER_STALL_S", 0.5)
+    async with forwarding_setup() as setup:
+        body = b"x" * (7 * 1024 * 1024)
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(Framing.LENGTH, (body,))
+        metrics = setup.entry.node.metrics
+        async with unread_answer(setup, "/read/x"):
+            await setup.until(lambda: metrics.counter("callers_too_slow"), 3.0)
+            await setup.until(lambda: not setup.entry.entry.buffers.used)
+
+
+async def test_a_stream_that_is_broken_off_is_counted_by_its_cause():
+    async with forwarding_setup() as setup:
+        answer = ScriptedAnswer(Framing.CONNECTION, (*WHOLE, CUT), interval_s=0.05)
+        with pytest.raises(aiohttp.ClientError):
+            await ask_for_stream(setup, answer)
+        metrics = setup.entry.node.metrics
+        assert metrics.counter("responses_incomplete_unfinished_event") == 1
+        assert metrics.counter("caller_responses_cut") == 1
