--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -245,6 +245,7 @@
         call: ControlCall,
         timeout_s: float,
         stall_timeout_s: float,
+        limit_s: float,
         on_data: Callable[[int], None],
     ) -> ControlResponse:
         """Make a control call whose response may take long on a slow link.
@@ -254,6 +255,7 @@
             call: method, target and body.
             timeout_s: limit from the start of the call to the response's headers.
             stall_timeout_s: limit between two parts of its body.
+            limit_s: limit from the headers to the end of the body.
             on_data: called with the number of bytes of each part of the body.
 
         Raises:
@@ -263,12 +265,13 @@
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_s) as limit:
+            response = await self._start_call(address, call)
+            latest = loop.time() + limit_s
 
             def extend(size: int) -> None:
                 on_data(size)
-                limit.reschedule(loop.time() + stall_timeout_s)
+                limit.reschedule(min(latest, loop.time() + stall_timeout_s))
 
-            response = await self._start_call(address, call)
             async with response:
                 extend(0)
                 body = await read_document(
--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -25,6 +25,7 @@
 HISTORY_GONE_STATUS = 410
 READ_TIMEOUT_S = 1.5  # until a response begins
 STALL_TIMEOUT_S = 1.0  # between two parts of a response
+READ_LIMIT_S = 20.0  # for a whole response; a large one on a slow link takes seconds
 RESPONSE_MARGIN_S = 1.0  # after the wait of a watch; a later response counts as lost
 PROBE_WAIT_S = 0.05  # wait of a watch while the store is unreachable
 PROBE_MARGIN_S = 0.6  # as RESPONSE_MARGIN_S; a slow store responds within it
@@ -156,7 +157,12 @@
         self._metrics.count("store_calls")
         self._called_at, self._received_bytes = self._clock(), 0
         response = await self._client.call_while_progressing(
-            self._address, call, timeout_s, STALL_TIMEOUT_S, self._count_received
+            self._address,
+            call,
+            timeout_s,
+            STALL_TIMEOUT_S,
+            READ_LIMIT_S,
+            self._count_received,
         )
         if response.status == HISTORY_GONE_STATUS:
             # The missed changes are gone, so the whole store is read again.
--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -12,13 +12,10 @@
 from ebonyglade.forward.events import EventSplitter
 from ebonyglade_entry.forwarding import server
 from helpers.forwarding_path import MODEL, forwarding_setup, received
-from helpers.scripted_answers import ScriptedAnswer
+from helpers.scripted_answers import UNREAD_BYTES, ScriptedAnswer, framings
 
 WHOLE = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 CUT = b"id: 3\ndata: ha"
-# What sockets and the client hold of a body that is not read on.
-UNREAD_BYTES = 8 * 1024 * 1024
-framings = pytest.mark.parametrize("framing", Framing, ids=lambda item: item.value)
 
 
 async def ask_for_stream(setup, answer):
--- a/tests/forward/test_store_reader.py
+++ b/tests/forward/test_store_reader.py
@@ -4,12 +4,17 @@
 import time
 from contextlib import asynccontextmanager
 
+import pytest
+
 import ebonyglade_platform
 from ebonyglade.audit import AuditTrail
+from ebonyglade.completeness import Framing
 from ebonyglade.forward.store_replica import StoreReplica
-from ebonyglade_node.endpoint_client import EndpointClient
+from ebonyglade_node import store_reader
+from ebonyglade_node.endpoint_client import MAX_STORE_PAGE_BYTES, EndpointClient
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.store_reader import READ_TIMEOUT_S, StoreReader
+from helpers.scripted_answers import UNREAD_BYTES, ScriptedAnswer, framings
 from helpers.users_platform import PlatformStore, config, route
 
 WAIT_S = 0.3
@@ -85,3 +90,37 @@
         assert metrics.counter("store_bytes_lost") > 0
         store.stalls = False
         assert await wait_for_version(replica, 1, 3 * READ_TIMEOUT_S)
+
+
+async def fails_and_recovers(store, answer):
+    """Read while the store gives an answer, and after it does so no more."""
+    await store.put("op/config", config(1, ROUTES[:1]))
+    store.answer = answer
+    async with reading(store) as (replica, metrics):
+        async with asyncio.timeout(4.0):
+            while metrics.counter("store_failures") < 1:
+                await asyncio.sleep(0.02)
+        store.answer = None
+        return await wait_for_version(replica, 1, 3.0)
+
+
+# A part that arrives now and then counted as progress, without end.
+async def test_a_read_that_trickles_without_end_is_given_up(monkeypatch):
+    monkeypatch.setattr(store_reader, "READ_LIMIT_S", 1.0)
+    trickle = ScriptedAnswer(Framing.CONNECTION, (b" ",), "endless", interval_s=0.1)
+    assert await fails_and_recovers(PlatformStore(page=10), trickle)
+
+
+@framings
+async def test_a_read_without_end_is_given_up(framing):
+    endless = ScriptedAnswer(framing, (b" " * 65536,), "endless")
+    assert await fails_and_recovers(PlatformStore(page=10), endless)
+    assert endless.sent < MAX_STORE_PAGE_BYTES + UNREAD_BYTES
+
+
+@framings
+@pytest.mark.parametrize("end", ["kept", "early", "reset", "silent"])
+async def test_a_page_that_is_broken_off_is_read_again(framing, end):
+    half = b'{"items": [], "AsOf": 9'
+    answer = ScriptedAnswer(framing, (half,), end)
+    assert await fails_and_recovers(PlatformStore(page=10), answer)
--- a/tests/helpers/scripted_answers.py
+++ b/tests/helpers/scripted_answers.py
@@ -5,8 +5,13 @@
 import struct
 from dataclasses import dataclass
 
+import pytest
+
 from ebonyglade.completeness import Framing
 
+framings = pytest.mark.parametrize("framing", Framing, ids=lambda item: item.value)
+# What sockets and a client hold of a body that is not read on.
+UNREAD_BYTES = 8 * 1024 * 1024
 MAX_UNSENT_BYTES = 256 * 1024
 MISSING_BYTES = 100  # of a body whose length is stated, and that ends early
 
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -24,6 +24,7 @@
         between_pages: called once between two pages of a range read.
         bytes_per_s: rate at which responses leave; None for no limit.
         stalls: whether responses stop half way.
+        answer: answer to all reads; None for the usual ones.
     """
 
     def __init__(self, page=2):
@@ -39,6 +40,7 @@
         self.between_pages = None
         self.bytes_per_s = None
         self.stalls = False
+        self.answer = None
         self.app.router.add_get("/kv-range", self._range)
         self.app.router.add_get("/kv-watch", self._watch)
 
@@ -106,6 +108,8 @@
 
     async def _range(self, request):
         self.reads += 1
+        if self.answer is not None:
+            await self.answer.send(request, self._headers())
         if self.down:
             return self._refuse(503)
         after = request.query.get("after", "")
@@ -127,6 +131,8 @@
 
     async def _watch(self, request):
         self.reads += 1
+        if self.answer is not None:
+            await self.answer.send(request, self._headers())
         if self.down:
             return self._refuse(503)
         after = int(request.query["after"])
--- a/tests/test_endpoint_answers.py
+++ b/tests/test_endpoint_answers.py
@@ -2,13 +2,10 @@
 
 import pytest
 
-from ebonyglade.completeness import Framing
 from ebonyglade.ports import EngineError
 from ebonyglade_agent.engine import HttpService, new_session
 from ebonyglade_lab.standins.server import StandIn
-from helpers.scripted_answers import ScriptedAnswer
-
-framings = pytest.mark.parametrize("framing", Framing, ids=lambda item: item.value)
+from helpers.scripted_answers import ScriptedAnswer, framings
 
 
 class ScriptedEndpoint(StandIn):
