Read the configuration service's answers through the one reader, with typed rows

An answer that is JSON and holds no rows ended the watcher's task with a TypeError or an AttributeError, and no change of configuration arrived until a restart. Rows are typed now, and whatever an answer holds is read again like one that failed; a response is limited to 64 MiB.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/platform.py
@@ -24,6 +24,7 @@
         silent: whether all reads and watches hang for `DEFAULT_WAIT_S` and then fail.
         calls: requests so far, answered or still waiting.
         failing_reads: number of next reads of all documents that fail.
+        spoiled_reads: bodies of the next reads of all documents.
         older_reads: number of next reads of all documents that lack the newest change.
         reads: of the calls, how many read all documents.
     """
@@ -40,6 +41,7 @@
         self.reads = 0
         self.failing_reads = 0
         self.older_reads = 0
+        self.spoiled_reads: list[bytes] = []
         router = self.app.router
         router.add_get("/v1/kv/{path:.*}", self._get)
         router.add_put("/v1/kv/{path:.*}", self._put)
@@ -96,6 +98,12 @@
         if self.failing_reads > 0:
             self.failing_reads -= 1
             raise web.HTTPServiceUnavailable
+        if self.spoiled_reads:
+            return web.Response(
+                body=self.spoiled_reads.pop(0),
+                content_type="application/json",
+                headers={"X-Consul-Index": str(revision)},
+            )
         if self.older_reads > 0:
             self.older_reads -= 1
             rows = {path: row for path, row in rows.items() if row.revision < revision}
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -12,12 +12,19 @@
 import logging
 
 import aiohttp
+import msgspec
 from mode import Service
 
+from ebonyglade.bodies import MIB, BufferLease, read_document
+from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.config.relay import Relay
 from ebonyglade.wire.control import ConfigItem
-from ebonyglade_node.http_bodies import ResetCheckingConnector, ResetCheckingHandler
+from ebonyglade_node.http_bodies import (
+    ResetCheckingConnector,
+    ResetCheckingHandler,
+    body_of,
+)
 from ebonyglade_node.metrics import Metrics
 from ebonyglade_node.settings import PlatformSection
 
@@ -26,10 +33,29 @@
 RETRY_S = 0.5
 RETRY_MAX_S = 5.0
 RESPONSE_MARGIN_S = 5.0
+MAX_RESPONSE_BYTES = 64 * MIB  # all documents of the platform
+READ_ERRORS = (
+    aiohttp.ClientError,
+    IncompleteResponse,
+    TimeoutError,
+    ValueError,
+    KeyError,
+)
 
 ROLE_POLL_INTERVAL_S = 0.2  # between checks whether to poll the platform
 
 
+class _Row(msgspec.Struct, rename="pascal"):
+    """One document in a response of the service."""
+
+    key: str
+    modify_index: int
+    value: str | None = None
+
+
+_rows_decoder = msgspec.json.Decoder(list[_Row])
+
+
 class PlatformWatcher(Service):
     """Keeps one blocking query open while this instance polls the platform."""
 
@@ -72,7 +98,7 @@
             try:
                 await self._wait_for_change()
                 delay = RETRY_S
-            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+            except READ_ERRORS as error:
                 # A change that the watch reported may not have been read yet.
                 self._index = 0
                 self._metrics.count("platform_errors")
@@ -102,28 +128,35 @@
 
     async def _read_all(self) -> None:
         self._metrics.count("platform_reads")
-        revision, rows = await self._query({"recurse": "true"})
+        revision, content = await self._query({"recurse": "true"})
         prefix = self._section.prefix
-        items = [config_item(row, prefix) for row in rows]
+        items = [config_item(row, prefix) for row in _rows_decoder.decode(content)]
         self._config.apply_snapshot(revision, items)
 
-    async def _query(self, query: dict[str, str]) -> tuple[int, list]:
+    async def _query(self, query: dict[str, str]) -> tuple[int, bytes]:
         self._metrics.count("platform_calls")
         url = f"{self._section.url}/v1/kv/{self._section.prefix}/"
         async with self._session.get(url, params=query) as response:
             if response.status not in (200, 404):
                 raise ValueError(f"status {response.status}")
-            rows = await response.json() if response.status == 200 else []
-            return int(response.headers["X-Consul-Index"]), rows
+            content = await read_document(
+                body_of(response), MAX_RESPONSE_BYTES, BufferLease()
+            )
+            return int(response.headers["X-Consul-Index"]), (
+                content if response.status == 200 else b"[]"
+            )
 
 
-def config_item(row: dict, prefix: str) -> ConfigItem:
+def config_item(row: _Row, prefix: str) -> ConfigItem:
     """Return one row of the service's response as a configuration item.
 
     Args:
-        row: object with `Key`, `Value` in base64 and `ModifyIndex`.
+        row: the row; its value is in base64.
         prefix: key prefix to remove.
+
+    Raises:
+        ValueError: the value is not base64.
     """
-    path = row["Key"].removeprefix(prefix + "/")
-    value = base64.b64decode(row["Value"] or "").decode(errors="replace")
-    return ConfigItem(path, int(row["ModifyIndex"]), value)
+    path = row.key.removeprefix(prefix + "/")
+    value = base64.b64decode(row.value or "", validate=True).decode(errors="replace")
+    return ConfigItem(path, row.modify_index, value)
--- a/packages/ebonyglade/src/ebonyglade/bodies.py
+++ b/packages/ebonyglade/src/ebonyglade/bodies.py
@@ -139,3 +139,27 @@
             on_part(len(part))
     body.require_complete(Content.DOCUMENT)
     return b"".join(parts)
+
+
+async def read_lines(body: Body, max_bytes: int) -> AsyncIterator[bytes]:
+    """Yield the lines of a body, without their ends, as they arrive.
+
+    Args:
+        body: the body.
+        max_bytes: limit of one line.
+
+    Raises:
+        IncompleteResponse: it is broken off, also inside a line, or a line is too long.
+    """
+    buffer = bytearray()
+    async for part in body.parts:
+        searched = len(buffer)
+        buffer += part
+        end = buffer.rfind(b"\n", searched) + 1
+        lines = bytes(buffer[:end]).split(b"\n")[:-1]
+        del buffer[:end]
+        if len(buffer) > max_bytes:
+            raise IncompleteResponse(f"a line over {max_bytes} bytes", Ending.LIMIT)
+        for line in lines:
+            yield line
+    body.require_complete(Content.UNFINISHED_EVENT if buffer else Content.DOCUMENT)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -35,3 +35,13 @@
 async def test_change_hidden_by_an_older_copy_is_read_again(fleet):
     fleet.platform.older_reads = 2
     await in_force(fleet, change(fleet))
+
+
+# An error that the watcher does not expect ends its task, and no change arrives then.
+@pytest.mark.parametrize(
+    "body",
+    [b"[3", b"[3]", b"{}", b'[{"Key": 3}]', b'[{"Key": "a", "Value": "?"}]', b"\xff"],
+)
+async def test_change_whose_read_was_spoiled_is_read_again(fleet, body):
+    fleet.platform.spoiled_reads = [body]
+    await in_force(fleet, change(fleet))
