Read an engine's and a service's answers through the one reader, whole or failed

The agent's clients had readers of their own. A decode response that was cut inside a line, a line without a token, and a document of another type ended the job with an error that nothing caught: its entry heard nothing and waited for its deadline. JSON documents and error texts of engines had no limit in bytes. All of these are EngineErrors now, and one module reads each response.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -1,15 +1,17 @@
 """HTTP clients of the agent for its local endpoint."""
 
 import asyncio
-import json
 from collections.abc import AsyncIterator, Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
 
 import aiohttp
+import msgspec
 from aiohttp.connector import Connection
 from yarl import URL
 
+from ebonyglade.bodies import KIB, MIB, BufferLease, read_document, read_lines
+from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.ports import (
     DecodeJob,
     EngineError,
@@ -18,13 +20,21 @@
     ServiceReply,
     Token,
 )
-from ebonyglade_node.http_bodies import ResetCheckingConnector, ResetCheckingHandler
+from ebonyglade_node.http_bodies import (
+    ResetCheckingConnector,
+    ResetCheckingHandler,
+    body_of,
+    describe,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 EVENTS_TIMEOUT_S = 2.0
 TOKEN_TIMEOUT_S = 5.0
 QUERY_TIMEOUT_S = 2.0
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BYTES = 8 * MIB
+MAX_LINE_BYTES = MIB
+MAX_ERROR_BYTES = 64 * KIB  # of an error response, of which only the start is kept
+MAX_ERROR_CHARS = 200
 # Headers that aiohttp would add where the caller sent none.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 NOT_CONNECTED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -80,6 +90,31 @@
     evicted: list[int]
 
 
+class _TokenLine(msgspec.Struct):
+    """One line of a decode response: a token, or the mark of its end."""
+
+    index: int = -1
+    text: str | None = None
+    done: bool = False
+
+
+class _Held(msgspec.Struct):
+    jobs: list[str]
+
+
+class _CacheEvents(msgspec.Struct):
+    events: list[tuple[int, list[int], list[int]]]
+
+
+_prefill_decoder = msgspec.json.Decoder(PrefillResult)
+_line_decoder = msgspec.json.Decoder(_TokenLine)
+_held_decoder = msgspec.json.Decoder(_Held)
+_cache_events_decoder = msgspec.json.Decoder(_CacheEvents)
+
+# How a call to an endpoint fails without a usable response.
+CALL_ERRORS = (aiohttp.ClientError, IncompleteResponse, msgspec.MsgspecError)
+
+
 def new_session() -> aiohttp.ClientSession:
     """Return a session without a connection limit or a total timeout.
 
@@ -125,13 +160,10 @@
             "prompt": job.prompt,
             "priority": job.priority,
         }
-        response = await self._post("/v1/prefill", document)
-        return PrefillResult(
-            response["source"],
-            response["handle"],
-            response["tokens"],
-            response["cached"],
-        )
+        try:
+            return _prefill_decoder.decode(await self._post("/v1/prefill", document))
+        except CALL_ERRORS as error:
+            raise _as_engine_error(error) from error
 
     async def decode(self, job: DecodeJob) -> AsyncIterator[Token]:
         """Generate tokens; the response has one JSON object per line."""
@@ -145,59 +177,54 @@
             "resume": list(job.resume),
             "priority": job.priority,
         }
-        complete = False
         try:
             async with self.session.post(
                 self.url + "/v1/decode", json=document
             ) as response:
                 await _raise_for_status(response)
-                async for line in _read_lines(response):
-                    row = json.loads(line)
-                    if row.get("done"):
-                        complete = True
-                        break
-                    yield Token(row["index"], row["text"])
-        except aiohttp.ClientError as error:
+                async for line in _timed_lines(response):
+                    if line.done:
+                        return
+                    yield Token(line.index, line.text)
+        except CALL_ERRORS as error:
             raise _as_engine_error(error) from error
-        if not complete:
-            raise EngineError(
-                "The engine ended its response before all tokens were sent.", lost=True
-            )
+        raise EngineError(
+            "The engine ended its response before all tokens were sent.", lost=True
+        )
 
     async def cancel(self, job: str) -> None:
         """Stop a job or export; raise `EngineError` unless the engine confirms it."""
-        await self._post("/v1/cancel", {"job": job})
+        try:
+            await self._post("/v1/cancel", {"job": job})
+        except CALL_ERRORS as error:
+            raise _as_engine_error(error) from error
 
     async def held(self) -> list[str]:
         """Return the ids of the jobs that hold memory at the engine."""
         try:
-            async with self.query_session.get(self.url + "/v1/held") as response:
-                await _raise_for_status(response)
-                return (await response.json())["jobs"]
-        except aiohttp.ClientError as error:
+            return _held_decoder.decode(await self._query("/v1/held")).jobs
+        except CALL_ERRORS as error:
             raise _as_engine_error(error) from error
 
     async def cache_events(self, since: int) -> list[CacheEvent]:
         """Return the prefix-cache events after a sequence number."""
-        url = f"{self.url}/v1/events?since={since}"
         try:
-            async with (
-                asyncio.timeout(EVENTS_TIMEOUT_S),
-                self.query_session.get(url) as response,
-            ):
-                await _raise_for_status(response)
-                rows = (await response.json())["events"]
-                return [CacheEvent(*row) for row in rows]
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise EngineError(str(error), may_have_run=False, lost=True) from error
+            async with asyncio.timeout(EVENTS_TIMEOUT_S):
+                content = await self._query(f"/v1/events?since={since}")
+            rows = _cache_events_decoder.decode(content).events
+            return [CacheEvent(*row) for row in rows]
+        except (*CALL_ERRORS, TimeoutError) as error:
+            raise EngineError(describe(error), may_have_run=False, lost=True) from error
 
-    async def _post(self, path: str, document: dict) -> dict:
-        try:
-            async with self.session.post(self.url + path, json=document) as response:
-                await _raise_for_status(response)
-                return await response.json()
-        except aiohttp.ClientError as error:
-            raise _as_engine_error(error) from error
+    async def _post(self, path: str, document: dict) -> bytes:
+        async with self.session.post(self.url + path, json=document) as response:
+            await _raise_for_status(response)
+            return await _read(response)
+
+    async def _query(self, path: str) -> bytes:
+        async with self.query_session.get(self.url + path) as response:
+            await _raise_for_status(response)
+            return await _read(response)
 
 
 @dataclass(slots=True)
@@ -227,50 +254,53 @@
                 allow_redirects=False,
                 skip_auto_headers=AUTO_HEADERS,
             ) as response:
-                content = await _read_body(response)
+                content = await _read(response)
                 received = [
                     (str(name), value) for name, value in response.headers.items()
                 ]
                 return ServiceReply(response.status, received, content)
         except SendAborted as error:
             raise EngineError(str(error), may_have_run=False) from error
-        except aiohttp.ClientError as error:
+        except CALL_ERRORS as error:
             raise _as_engine_error(error, attempt.sent) from error
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Return the body; if it is too large, the request still counts as executed."""
-    chunks = []
-    size = 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
-        if size > MAX_RESPONSE_BYTES:
-            raise EngineError("The endpoint's response is too large.")
-        chunks.append(chunk)
-    return b"".join(chunks)
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body; raises `IncompleteResponse` unless it is complete."""
+    return await read_document(body_of(response), MAX_RESPONSE_BYTES, BufferLease())
 
 
 async def _raise_for_status(response: aiohttp.ClientResponse) -> None:
     if response.status == 200:
         return
-    text = (await response.text())[:200]
+    content = await read_document(body_of(response), MAX_ERROR_BYTES, BufferLease())
+    text = content.decode(errors="replace")[:MAX_ERROR_CHARS]
     # 429 means that the engine is full and has not started the job.
     raise EngineError(
         f"status {response.status}: {text}", may_have_run=response.status != 429
     )
 
 
-async def _read_lines(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+async def _timed_lines(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[_TokenLine]:
+    """Yield the lines of a decode response, each within the time limit of a token."""
+    lines = read_lines(body_of(response), MAX_LINE_BYTES)
     while True:
         async with asyncio.timeout(TOKEN_TIMEOUT_S):
-            line = await response.content.readline()
-        if not line:
+            line = await anext(lines, None)
+        if line is None:
             return
-        yield line
+        decoded = _line_decoder.decode(line)
+        if decoded.text is None and not decoded.done:
+            raise IncompleteResponse("a line has no token")
+        yield decoded
 
 
-def _as_engine_error(error: aiohttp.ClientError, sent: bool = False) -> EngineError:
+def _as_engine_error(
+    error: aiohttp.ClientError | IncompleteResponse | msgspec.MsgspecError,
+    sent: bool = False,
+) -> EngineError:
     may_have_run = sent or not isinstance(error, NOT_CONNECTED_ERRORS)
-    return EngineError(
-        f"{type(error).__name__}: {error}", may_have_run=may_have_run, lost=True
-    )
+    too_large = isinstance(error, IncompleteResponse) and error.cause is Ending.LIMIT
+    return EngineError(describe(error), may_have_run=may_have_run, lost=not too_large)
