Test bytes without end around a body, and requests that are broken off

Seven kinds of endless heads, chunk sizes, extensions, trailers and interim responses are refused in time and take no memory; a request whose body is broken off reaches no endpoint.

--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -1,6 +1,7 @@
 """Answers that endpoints break off, with each framing, through an entry over HTTP."""
 
 import asyncio
+import resource
 import socket
 from contextlib import asynccontextmanager
 
@@ -15,6 +16,7 @@
 from helpers.scripted_answers import UNREAD_BYTES, ScriptedAnswer, framings
 
 WHOLE = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+MAX_GROWTH_BYTES = 32 * 1024 * 1024  # of a process that holds entry and endpoints
 CUT = b"id: 3\ndata: ha"
 
 
@@ -308,3 +310,73 @@
         metrics = setup.entry.node.metrics
         assert metrics.counter("responses_incomplete_unfinished_event") == 1
         assert metrics.counter("caller_responses_cut") == 1
+
+
+def peak_memory():
+    """Return the most bytes of memory that this process has held."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+
+class RawAnswer:
+    """Writes a part again and again until the connection is closed."""
+
+    def __init__(self, start, part):
+        self.start, self.part, self.sent = start, part, 0
+
+    async def send(self, request, headers):
+        transport = request.transport
+        transport.write(self.start)
+        while not transport.is_closing():
+            transport.write(self.part)
+            self.sent += len(self.part)
+            while transport.get_write_buffer_size() > 65536:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0)
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"", b"x" * 8192),
+        (b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * 8192),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 100),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0" * 8192),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x" * 8192),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-A: b\r\n" * 100,
+        ),
+    ],
+    ids=["line", "field", "fields", "interim", "chunk size", "extension", "trailer"],
+)
+async def test_bytes_without_end_around_a_body_are_refused_in_time(start, part):
+    async with forwarding_setup() as setup:
+        answers = [RawAnswer(start, part) for _ in range(2)]
+        setup.workers["plain-1"].answer, setup.workers["plain-2"].answer = answers
+        before = peak_memory()
+        status, seconds = await ask_timed(setup, "/read/x")
+        assert status in (502, 504)
+        assert seconds < 2.5
+        assert peak_memory() - before < MAX_GROWTH_BYTES
+
+
+# A part of a request must not run as if it was whole.
+@pytest.mark.parametrize(
+    "head",
+    ["Content-Length: 100", "Transfer-Encoding: chunked"],
+    ids=["length", "chunks"],
+)
+async def test_a_request_whose_body_is_broken_off_reaches_no_endpoint(head):
+    async with forwarding_setup() as setup:
+        host, _, port = setup.base.removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = raw_request("/read/x", "1.1").decode().removesuffix("\r\n")
+        writer.write(f"{request}{head}\r\n\r\n4\r\nhalf\r\n".encode())
+        await asyncio.sleep(0.1)
+        writer.write_eof()
+        await reader.read()
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert received(setup) == []
