--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -380,3 +380,48 @@
         writer.close()
         await asyncio.sleep(0.1)
         assert received(setup) == []
+
+
+# The rows of the table on docs/design/answers.md that no test above goes through.
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS])
+async def test_a_stream_without_events_of_a_kept_framing_is_complete(framing):
+    async with forwarding_setup() as setup:
+        status, body, _ = await ask_for_stream(setup, ScriptedAnswer(framing, ()))
+        assert (status, body) == (200, b"")
+
+
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS])
+async def test_a_stream_that_ends_early_does_not_look_complete(framing):
+    async with forwarding_setup() as setup:
+        answer = ScriptedAnswer(framing, WHOLE, end="early")
+        with pytest.raises(aiohttp.ClientError):
+            await ask_for_stream(setup, answer)
+
+
+@framings
+@pytest.mark.parametrize("parts", [(), (b"a", b"b")], ids=["empty", "document"])
+async def test_a_whole_document_reaches_its_caller(framing, parts):
+    async with forwarding_setup() as setup:
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(framing, parts)
+        status, body, _ = await setup.ask("/book/x", "POST")
+        assert (status, body) == (200, b"".join(parts))
+
+
+@pytest.mark.parametrize(
+    ("framing", "end"),
+    [
+        (Framing.LENGTH, "early"),
+        (Framing.LENGTH, "reset"),
+        (Framing.CHUNKS, "early"),
+        (Framing.CHUNKS, "reset"),
+        (Framing.CONNECTION, "reset"),
+    ],
+)
+@pytest.mark.parametrize("parts", [(), (b"a", b"b")], ids=["empty", "document"])
+async def test_a_document_that_is_broken_off_is_refused(framing, end, parts):
+    async with forwarding_setup() as setup:
+        for name in ("plain-1", "plain-2"):
+            setup.workers[name].answer = ScriptedAnswer(framing, parts, end)
+        status, _, _ = await setup.ask("/book/x", "POST")
+        assert status == 502
