Refuse a document with an invalid value alone, and read 64 MiB of documents as meant

A value that is no base64 failed the read of all documents, so that one team's document kept every change from arriving; it counts as empty now and is refused by itself. And the watcher's read held its bytes with a lease of its own whose budget of 32 MiB undercut the limit of 64 MiB: a lease is left out where a body's own limit is enough.

--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -9,13 +9,14 @@
 
 import asyncio
 import base64
+import binascii
 import logging
 
 import aiohttp
 import msgspec
 from mode import Service
 
-from ebonyglade.bodies import MIB, BufferLease, read_document
+from ebonyglade.bodies import MIB, read_document
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.config.relay import Relay
@@ -139,24 +140,26 @@
         async with self._session.get(url, params=query) as response:
             if response.status not in (200, 404):
                 raise ValueError(f"status {response.status}")
-            content = await read_document(
-                body_of(response), MAX_RESPONSE_BYTES, BufferLease()
-            )
-            return int(response.headers["X-Consul-Index"]), (
-                content if response.status == 200 else b"[]"
-            )
+            content = await read_document(body_of(response), MAX_RESPONSE_BYTES)
+            found = response.status == 200
+            return int(response.headers["X-Consul-Index"]), content if found else b"[]"
 
 
 def config_item(row: _Row, prefix: str) -> ConfigItem:
     """Return one row of the service's response as a configuration item.
 
     Args:
-        row: the row; its value is in base64.
+        row: the row; its value is in base64. Any other value counts as empty, so that
+            only this document is refused.
         prefix: key prefix to remove.
-
-    Raises:
-        ValueError: the value is not base64.
     """
     path = row.key.removeprefix(prefix + "/")
-    value = base64.b64decode(row.value or "", validate=True).decode(errors="replace")
-    return ConfigItem(path, row.modify_index, value)
+    try:
+        value = base64.b64decode(row.value or "", validate=True)
+    except binascii.Error as error:
+        logger.warning(
+            "document value is not valid base64",
+            extra={"path": path, "reason": str(error)},
+        )
+        value = b""
+    return ConfigItem(path, row.modify_index, value.decode(errors="replace"))
--- a/packages/ebonyglade/src/ebonyglade/bodies.py
+++ b/packages/ebonyglade/src/ebonyglade/bodies.py
@@ -101,7 +101,7 @@
             raise IncompleteResponse(f"the body ends with {content.value}", content)
 
 
-def require_size(size: int, max_bytes: int, lease: BufferLease) -> None:
+def require_size(size: int, max_bytes: int, lease: BufferLease | None) -> None:
     """Hold the bytes read so far of a document or an event.
 
     Raises:
@@ -109,22 +109,23 @@
     """
     if size > max_bytes:
         raise IncompleteResponse(f"over {max_bytes} bytes", Ending.LIMIT)
-    if not lease.hold(size):
+    if lease is not None and not lease.hold(size):
         raise IncompleteResponse("no memory left for bodies", Ending.NO_MEMORY)
 
 
 async def read_document(
     body: Body,
     max_bytes: int,
-    lease: BufferLease,
+    lease: BufferLease | None = None,
     on_part: Callable[[int], None] | None = None,
 ) -> bytes:
-    """Return the bytes of a complete body; the lease holds them after it.
+    """Return the bytes of a complete body.
 
     Args:
         body: the body.
         max_bytes: limit of its size.
-        lease: holds the memory.
+        lease: holds the memory, also after the return; None for a body whose own limit
+            is enough.
         on_part: called with the size of each part.
 
     Raises:
