Group the time limits of a store's read, and cut large bodies like streams on errors

No change of decisions but one: an internal error within a large body used to append a refusal to it, as it once did to streams; one place handles both now.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -10,7 +10,7 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from ebonyglade.bodies import KIB, MIB, BufferLease, read_document, read_lines
+from ebonyglade.bodies import KIB, MIB, read_document, read_lines
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.ports import (
     DecodeJob,
@@ -267,13 +267,13 @@
 
 async def _read(response: aiohttp.ClientResponse) -> bytes:
     """Return the whole body; raises `IncompleteResponse` unless it is complete."""
-    return await read_document(body_of(response), MAX_RESPONSE_BYTES, BufferLease())
+    return await read_document(body_of(response), MAX_RESPONSE_BYTES)
 
 
 async def _raise_for_status(response: aiohttp.ClientResponse) -> None:
     if response.status == 200:
         return
-    content = await read_document(body_of(response), MAX_ERROR_BYTES, BufferLease())
+    content = await read_document(body_of(response), MAX_ERROR_BYTES)
     text = content.decode(errors="replace")[:MAX_ERROR_CHARS]
     # 429 means that the engine is full and has not started the job.
     raise EngineError(
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -201,11 +201,26 @@
         call: ForwardCall,
         reply: CompleteResponse | StreamedResponse,
     ) -> web.StreamResponse:
-        if isinstance(reply, StreamedResponse):
-            return await self._write_stream(request, call, reply)
-        if len(reply.body) > WRITE_PART_BYTES:
+        if isinstance(reply, CompleteResponse) and len(reply.body) <= WRITE_PART_BYTES:
+            return self._with_head(web.Response(body=reply.body), reply)
+        try:
+            if isinstance(reply, StreamedResponse):
+                return await self._write_stream(request, call, reply)
             return await self._write_large_body(request, reply)
-        response = web.Response(status=reply.status, body=reply.body)
+        except (IncompleteResponse, ConnectionError):
+            raise
+        except Exception as error:
+            # A refusal can't follow the beginning of a response.
+            logger.exception("response failed", extra={"request": call.id})
+            raise IncompleteResponse(f"internal error: {error!r}") from error
+
+    def _with_head(
+        self,
+        response: web.StreamResponse,
+        reply: CompleteResponse | StreamedResponse,
+    ) -> web.StreamResponse:
+        """Return a response with the status and headers of a reply."""
+        response.set_status(reply.status)
         _set_headers(response, reply.headers)
         self._close_if_stopping(response)
         return response
@@ -214,21 +229,13 @@
         self, request: web.Request, call: ForwardCall, reply: StreamedResponse
     ) -> web.StreamResponse:
         """Write a stream's events as they come, until the deadline of its request."""
-        response = web.StreamResponse(status=reply.status)
-        _set_headers(response, reply.headers)
-        self._close_if_stopping(response)
+        response = self._with_head(web.StreamResponse(), reply)
         try:
             await response.prepare(request)
             async for chunk in reply.chunks:
                 left_s = call.deadline - self._node.context.clock()
                 await self._write(response, chunk, left_s)
             await response.write_eof()
-        except (IncompleteResponse, ConnectionError):
-            raise
-        except Exception as error:
-            # A refusal can't follow the beginning of a response.
-            logger.exception("response failed", extra={"request": call.id})
-            raise IncompleteResponse(f"internal error: {error!r}") from error
         finally:
             await reply.chunks.aclose()
         return response
@@ -237,10 +244,8 @@
         self, request: web.Request, reply: CompleteResponse
     ) -> web.StreamResponse:
         """Write a body as fast as its caller reads it, without another copy of it."""
-        response = web.StreamResponse(status=reply.status)
-        _set_headers(response, reply.headers)
+        response = self._with_head(web.StreamResponse(), reply)
         response.content_length = len(reply.body)
-        self._close_if_stopping(response)
         await response.prepare(request)
         for start in range(0, len(reply.body), WRITE_PART_BYTES):
             part = reply.body[start : start + WRITE_PART_BYTES]
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -17,7 +17,7 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from ebonyglade.bodies import MIB, BufferLease, read_document
+from ebonyglade.bodies import MIB, read_document
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
 from ebonyglade_node.http_bodies import (
@@ -37,6 +37,21 @@
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
+@dataclass(frozen=True, slots=True)
+class ProgressLimits:
+    """Limits of a call whose response may take long on a slow link, in seconds.
+
+    Attributes:
+        headers_s: from the start of the call to the response's headers.
+        stall_s: between two parts of its body.
+        body_s: from its headers to the end of its body.
+    """
+
+    headers_s: float
+    stall_s: float
+    body_s: float
+
+
 # How a control call fails.
 CALL_ERRORS = (aiohttp.ClientError, IncompleteResponse, TimeoutError, OSError)
 
@@ -234,18 +249,14 @@
         async with asyncio.timeout(timeout_s):
             response = await self._start_call(address, call)
             async with response:
-                body = await read_document(
-                    body_of(response), MAX_CONTROL_BYTES, BufferLease()
-                )
+                body = await read_document(body_of(response), MAX_CONTROL_BYTES)
                 return ControlResponse(response.status, response.headers, body)
 
     async def call_while_progressing(
         self,
         address: str,
         call: ControlCall,
-        timeout_s: float,
-        stall_timeout_s: float,
-        limit_s: float,
+        limits: ProgressLimits,
         on_data: Callable[[int], None],
     ) -> ControlResponse:
         """Make a control call whose response may take long on a slow link.
@@ -253,9 +264,7 @@
         Args:
             address: "IP:port" of the endpoint or the store.
             call: method, target and body.
-            timeout_s: limit from the start of the call to the response's headers.
-            stall_timeout_s: limit between two parts of its body.
-            limit_s: limit from the headers to the end of the body.
+            limits: limits of time.
             on_data: called with the number of bytes of each part of the body.
 
         Raises:
@@ -264,18 +273,18 @@
             TimeoutError: nothing arrived within one of the limits.
         """
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_s) as limit:
+        async with asyncio.timeout(limits.headers_s) as limit:
             response = await self._start_call(address, call)
-            latest = loop.time() + limit_s
+            latest = loop.time() + limits.body_s
 
             def extend(size: int) -> None:
                 on_data(size)
-                limit.reschedule(min(latest, loop.time() + stall_timeout_s))
+                limit.reschedule(min(latest, loop.time() + limits.stall_s))
 
             async with response:
                 extend(0)
                 body = await read_document(
-                    body_of(response), MAX_STORE_PAGE_BYTES, BufferLease(), extend
+                    body_of(response), MAX_STORE_PAGE_BYTES, on_part=extend
                 )
                 return ControlResponse(response.status, response.headers, body)
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/store_reader.py
@@ -17,7 +17,7 @@
     StoreVersion,
 )
 from ebonyglade.ports import Clock
-from ebonyglade_node.endpoint_client import CALL_ERRORS, EndpointClient
+from ebonyglade_node.endpoint_client import CALL_ERRORS, EndpointClient, ProgressLimits
 from ebonyglade_node.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -159,9 +159,7 @@
         response = await self._client.call_while_progressing(
             self._address,
             call,
-            timeout_s,
-            STALL_TIMEOUT_S,
-            READ_LIMIT_S,
+            ProgressLimits(timeout_s, STALL_TIMEOUT_S, READ_LIMIT_S),
             self._count_received,
         )
         if response.status == HISTORY_GONE_STATUS:
