--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -268,7 +268,7 @@
     assert not port.sent
 
 
-def test_a_request_is_refused_at_once_if_all_decode_endpoints_are_backoff_left_long():
+def test_a_request_is_refused_at_once_if_all_decode_endpoints_want_none_for_long():
     full = {
         ("d", "/hold"): (503, b"", {"retry-after": "9"}),
         ("e", "/hold"): (503, b"", {"retry-after": "8"}),
@@ -280,7 +280,7 @@
     assert len(port.controls) == 2
 
 
-def test_a_request_waits_for_an_endpoint_that_in_backoff_briefly():
+def test_a_request_waits_for_an_endpoint_that_is_in_backoff_briefly():
     full = {
         ("d", "/hold"): (503, b"", {"retry-after": "0.5"}),
         ("e", "/hold"): (503, b"", {"retry-after": "60"}),
