--- a/tests/helpers/forwarding_path.py
+++ b/tests/helpers/forwarding_path.py
@@ -109,3 +109,10 @@
 
 def received(setup):
     return [request for worker in setup.workers.values() for request in worker.received]
+
+
+def raw_request(target, version):
+    """Return a model request as the bytes of a caller."""
+    headers = {"Host": "h.example", "X-Request-Id": "id-1", "Api-Key": "key-1"} | MODEL
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"GET {target} HTTP/{version}\r\n{lines}\r\n".encode()
