Close, release and record an incomplete answer in one place

Reading a document and waiting for a first event each closed the answer, released its memory, recorded it and joined its verdict; record_incomplete does all four now.

--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -209,11 +209,9 @@
             error = caught
         finally:
             response.close()
-        call.buffers.release()
-        failure = self.record_incomplete(call, endpoint, response, error)
-        if runs_request:
-            call.verdict = combine_verdicts(call.verdict, failure.verdict)
-        return Err(failure)
+        return Err(
+            self.record_incomplete(call, endpoint, response, error, runs_request)
+        )
 
     def record_incomplete(
         self,
@@ -221,8 +219,11 @@
         endpoint: Endpoint,
         response: EndpointResponse,
         error: IncompleteResponse,
+        runs_request: bool = True,
     ) -> AttemptFailure:
-        """Record a response that ended before it was complete."""
+        """Close and record a response that ended before it was complete."""
+        response.close()
+        call.buffers.release()
         self.count(f"responses_incomplete_{error.cause.value}")
         logger.info(
             "response incomplete",
@@ -238,9 +239,11 @@
         if error.cause is not Ending.NO_MEMORY:
             self.loads.record_outcome(endpoint.id, True, self.clock())
         late = error.cause is Ending.LATE
-        return AttemptFailure(
-            FailureKind.LATE if late else FailureKind.BROKEN, str(error)
-        )
+        kind = FailureKind.LATE if late else FailureKind.BROKEN
+        failure = AttemptFailure(kind, str(error))
+        if runs_request:
+            call.verdict = combine_verdicts(call.verdict, failure.verdict)
+        return failure
 
     def record_encoded_response(
         self, call: ForwardCall, endpoint: Endpoint
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -25,7 +25,6 @@
 from ebonyglade.forward.prefiller import Prefiller, PrefillSource
 from ebonyglade.forward.reserver import MemoryReservation, Reserver
 from ebonyglade.forward.streams import EventReader, StreamStats
-from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Verdict, combine_verdicts
 
 # Limit for the response headers, and again from them to the first event.
@@ -167,9 +166,13 @@
                 first = await events.next_events()
         except TimeoutError:
             error = IncompleteResponse("no first event in time", Ending.LATE)
-            return Err(self._without_event(call, reservation.endpoint, response, error))
+            return Err(
+                attempts.record_incomplete(call, reservation.endpoint, response, error)
+            )
         except IncompleteResponse as error:
-            return Err(self._without_event(call, reservation.endpoint, response, error))
+            return Err(
+                attempts.record_incomplete(call, reservation.endpoint, response, error)
+            )
         except asyncio.CancelledError:
             response.close()
             raise
@@ -178,20 +181,6 @@
         chunks = self._stream_events(call, reservation, events, first)
         return Ok(StreamedResponse(response.status, headers, chunks))
 
-    def _without_event(
-        self,
-        call: ForwardCall,
-        endpoint: Endpoint,
-        response: EndpointResponse,
-        error: IncompleteResponse,
-    ) -> AttemptFailure:
-        """Record a stream of which nothing was passed on; it may have run."""
-        response.close()
-        call.buffers.release()
-        failure = self.attempts.record_incomplete(call, endpoint, response, error)
-        call.verdict = combine_verdicts(call.verdict, failure.verdict)
-        return failure
-
     async def _stream_events(
         self,
         call: ForwardCall,
