Log what is counted and cleared of crashes under a request, and its fingerprint (BUDGET)

The logs could not tell whether a break counted as a crash, was cleared, or was not known where the request was sent: attempts had no fingerprint, and counts had no line.

--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -229,6 +229,7 @@
             "response incomplete",
             extra={
                 "request": call.id,
+                "fingerprint": call.fingerprint,
                 "endpoint": endpoint.id,
                 "status": response.status,
                 "framing": response.body.framing.value,
@@ -245,6 +246,20 @@
             call.verdict = combine_verdicts(call.verdict, failure.verdict)
         return failure
 
+    def record_answer(self, call: ForwardCall) -> None:
+        """Record that an endpoint answered a request without a crash."""
+        crashes = self.crashes.count(call.fingerprint, self.clock())
+        self.crashes.record_success(call.fingerprint)
+        if crashes:
+            logger.info(
+                "crashes under a request cleared",
+                extra={
+                    "request": call.id,
+                    "fingerprint": call.fingerprint,
+                    "crashes": crashes,
+                },
+            )
+
     def record_encoded_response(
         self, call: ForwardCall, endpoint: Endpoint
     ) -> AttemptFailure:
@@ -275,6 +290,7 @@
             "attempt failed",
             extra={
                 "request": call.id,
+                "fingerprint": call.fingerprint,
                 "endpoint": endpoint.id,
                 "trouble": failure.kind.value,
                 "reason": failure.reason,
@@ -311,6 +327,15 @@
         self.loads.ejections.record_failure(endpoint.id, now)
         self.loads.record_outcome(endpoint.id, True, now)
         self.crashes.record_crash(call.fingerprint, now)
+        logger.info(
+            "endpoint may have crashed under a request",
+            extra={
+                "request": call.id,
+                "fingerprint": call.fingerprint,
+                "endpoint": endpoint.id,
+                "crashes": self.crashes.count(call.fingerprint, now),
+            },
+        )
 
     def _on_late_or_broken(
         self, call: ForwardCall, endpoint: Endpoint, now: float
--- a/packages/ebonyglade/src/ebonyglade/forward/crash_counts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/crash_counts.py
@@ -52,10 +52,14 @@
 
     def is_blocked(self, key: str, now: float) -> bool:
         """Return whether a request must not be sent any more."""
+        return self.count(key, now) >= MAX_CRASHES
+
+    def count(self, key: str, now: float) -> int:
+        """Return the number of crashes under a request that are known here."""
         seen = self._own.get(key)
         own = seen.count if seen and now - seen.at < CRASH_TTL_S else 0
         others = sum(counts.get(key, 0) for counts in self._by_entry.values())
-        return own + others >= MAX_CRASHES
+        return own + others
 
     def own_counts(self, now: float) -> dict[str, int]:
         """Return this entry's counts, to be sent to other entries."""
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -177,7 +177,7 @@
             response.close()
             raise
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
-        attempts.crashes.record_success(call.fingerprint)
+        attempts.record_answer(call)
         chunks = self._stream_events(call, reservation, events, first)
         return Ok(StreamedResponse(response.status, headers, chunks))
 
