--- /dev/null
+++ b/tests/forward/test_requests_that_crash.py
@@ -0,0 +1,88 @@
+"""Requests that crash the endpoints that run them, through an entry over HTTP."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from helpers.crashes import CRASH_POINTS, CrashingEndpoint
+from helpers.forwarding_path import MODEL, forwarding_setup
+
+# Endpoints may end under a request three times, and it may be sent three times more
+# before all entries know.
+MAX_SENT = 6
+
+
+async def ask(setup, endpoint, body, target="/write/x", **headers):
+    """Send a request, and wait until the endpoint is known again."""
+    try:
+        status, _, _ = await setup.ask(target, "POST", body=body, **headers)
+    except aiohttp.ClientError:
+        status = None
+    await setup.until(lambda: endpoint.is_known(setup.entry))
+    return status
+
+
+# An answer that was broken off did not count as a crash, and its first event cleared
+# what was counted, so that a request ended one endpoint after the other.
+@pytest.mark.known_red
+@pytest.mark.parametrize("point", [item for item in CRASH_POINTS if "head" not in item])
+async def test_a_request_that_crashes_endpoints_within_its_answer_is_not_sent_on(point):
+    assert await times_sent(point) <= MAX_SENT
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize("point", ["after_its_head", "after_its_head_by_reset"])
+async def test_a_request_that_crashes_endpoints_after_their_head_is_not_sent_on(point):
+    assert await times_sent(point) <= MAX_SENT
+
+
+async def test_a_request_that_crashes_endpoints_before_their_head_is_not_sent_on():
+    assert await times_sent("before_its_head") <= MAX_SENT
+
+
+async def times_sent(point):
+    async with forwarding_setup() as setup:
+        endpoint = CrashingEndpoint(
+            setup.store,
+            setup.workers["decode"],
+            lambda headers, body: body == b"bad",
+            point,
+        )
+        for number in range(12):
+            headers = {**MODEL, "X-Request-Id": f"id-{number}"}
+            await ask(setup, endpoint, b"bad", **headers)
+        assert await ask(setup, endpoint, b"good", **MODEL) == 200
+        return endpoint.sent.count(b"bad")
+
+
+class SlowPrefill:
+    """Delays prefills."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+
+    async def send(self, request, headers):
+        await asyncio.sleep(self.seconds)
+
+
+# Whether a request is blocked was asked on its arrival only: those that were prefilled
+# or waited for memory meanwhile were still sent.
+@pytest.mark.known_red
+async def test_copies_that_wait_while_a_request_crashes_endpoints_are_not_sent_on():
+    async with forwarding_setup() as setup:
+        setup.workers["prefill"].prefill_answer = SlowPrefill(0.5)
+        endpoint = CrashingEndpoint(
+            setup.store,
+            setup.workers["decode"],
+            lambda headers, body: body == b"bad",
+            "before_its_head",
+        )
+        copies = []
+        for number in range(10):
+            headers = {**MODEL, "X-Request-Id": f"id-{number}"}
+            copies.append(asyncio.create_task(ask(setup, endpoint, b"bad", **headers)))
+            await asyncio.sleep(0.15)
+        statuses = await asyncio.gather(*copies)
+        assert endpoint.sent.count(b"bad") == 3
+        assert 503 in statuses
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -165,6 +165,7 @@
     Attributes:
         seen: method, path, headers and body of each request.
         handles: request ids by handle of the prefilled prompts that are kept.
+        born_ms: Unix milliseconds of its start.
         holds: reserved slots that no decode request has used yet.
         orders: bodies of the stage orders.
         failure: "not executed", "reset" or "silent": how requests fail; None if not.
@@ -183,6 +184,7 @@
         self.name = name
         self.stage = stage
         self.slots = slots
+        self.born_ms = 1_700_000_000_000
         self.received = []
         self.handles = {}
         self.holds = set()
@@ -215,7 +217,7 @@
             "State": "ready",
             "ColdLeftMs": 0,
             "Seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.born_ms,
         }
         if self.stage:
             document["Stage"] = self.stage
@@ -255,7 +257,7 @@
                 "KvTotal": 80000,
                 "KvHandles": len(self.handles),
                 "Runs": [],
-                "born": 1_700_000_000_000,
+                "born": self.born_ms,
             }
         )
 
