--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -159,11 +159,20 @@
             workspace=call.workspace_name,
         )
 
+    def crash_refusal(self, call: ForwardCall) -> Refusal | None:
+        """Refuse a request that crashes endpoints; asked again after each wait."""
+        if not self.crashes.is_blocked(call.fingerprint, self.clock()):
+            return None
+        return refuse("crashes_endpoints")
+
     def final_refusal(
         self, call: ForwardCall, failure: AttemptFailure | None
     ) -> Refusal:
         """Return the refusal of a request whose attempts have all failed."""
         if call.verdict is Verdict.NOT_RUN:
+            crash_refusal = self.crash_refusal(call)
+            if crash_refusal is not None:
+                return crash_refusal
             if self.remaining_s(call) <= MIN_REMAINING_S:
                 return refuse("not_started")
             backoff_left = self.backoff_left(call)
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -286,8 +286,9 @@
         call.fingerprint = fingerprint(
             call.workspace_name, call.method, call.target, call.body
         )
-        if self.crashes.is_blocked(call.fingerprint, self.context.clock()):
-            return refuse("crashes_endpoints")
+        refusal = self.attempts.crash_refusal(call)
+        if refusal is not None:
+            return refusal
         call.first_attempt_at = self.first_attempts.first_attempt_at(
             call.fingerprint, call.arrived_at
         )
@@ -327,9 +328,11 @@
     def _may_send(self, call: ForwardCall) -> bool:
         """Return whether a request may still be sent; checked before each attempt.
 
-        The deadline must allow another attempt, and the caller's key must still be
-        in force.
+        The deadline must allow another attempt, the request must not be one that
+        crashes endpoints, and the caller's key must still be in force.
         """
+        if self.attempts.crash_refusal(call) is not None:
+            return False
         if self.context.clock() + MIN_REMAINING_S > call.deadline:
             return False
         if call.workspace is None:
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -53,6 +53,8 @@
         excluded: set[str] = set()
         possible_runs = 0
         for attempt in range(MAX_DECODE_ATTEMPTS):
+            if self.attempts.crash_refusal(call) is not None:
+                break
             if attempt and not self.attempts.take_retry(call):
                 break
             reserved = await self.reserver.reserve(call, excluded)
@@ -81,6 +83,8 @@
                 await self.prefiller.await_local_lease(call, reservation.endpoint)
             if self.attempts.remaining_s(call) <= MIN_REMAINING_S:
                 return Err(AttemptFailure(FailureKind.NOT_SENT, "no time left"))
+            if self.attempts.crash_refusal(call) is not None:
+                return Err(AttemptFailure(FailureKind.NOT_SENT, "crashes endpoints"))
             used = True
             return await self._decode(call, reservation, source)
         finally:
--- a/packages/ebonyglade/src/ebonyglade/forward/plain.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/plain.py
@@ -35,6 +35,8 @@
             endpoint = attempts.choose(call, excluded)
             if endpoint is None or attempts.remaining_s(call) <= MIN_REMAINING_S:
                 break
+            if attempts.crash_refusal(call) is not None:
+                break
             if attempt and not attempts.take_retry(call):
                 break
             excluded.add(endpoint.id)
--- a/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
@@ -50,7 +50,7 @@
         excluded: set[str] = set()
         for attempt in range(MAX_PREFILL_ATTEMPTS):
             endpoint = self.attempts.choose(call, excluded, Stage.PREFILL)
-            if endpoint is None:
+            if endpoint is None or self.attempts.crash_refusal(call) is not None:
                 return None
             if attempt and not self.attempts.take_retry(call):
                 return None
--- a/packages/ebonyglade/src/ebonyglade/forward/reserver.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/reserver.py
@@ -31,16 +31,16 @@
 RETRY_AFTER_S = 1.0  # sent to a caller whose request got no memory
 
 
-class _AllInBackoff(Exception):
-    """No decode endpoint takes requests for longer than a request can wait.
+class _RefusedWhileWaiting(Exception):
+    """A request that waits for memory need not wait any longer.
 
     Attributes:
-        seconds: time until the first one takes requests again.
+        refusal: the refusal to answer with.
     """
 
-    def __init__(self, seconds: float) -> None:
-        super().__init__(f"all decode endpoints are in backoff for {seconds:.3f} s")
-        self.seconds = seconds
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.code)
+        self.refusal = refusal
 
 
 @dataclass(slots=True)
@@ -87,8 +87,8 @@
         )
         try:
             return Ok(await self._wait_for_memory(call, excluded, give_up_at))
-        except _AllInBackoff as backoff:
-            return Err(refuse("overloaded", retry_after=backoff.seconds))
+        except _RefusedWhileWaiting as error:
+            return Err(error.refusal)
         except TimeoutError:
             return Err(self._refuse_after_wait(call))
 
@@ -99,7 +99,8 @@
 
         Raises:
             TimeoutError: there was none until `give_up_at`.
-            _AllInBackoff: no endpoint takes requests before `give_up_at`.
+            _RefusedWhileWaiting: no endpoint takes requests before `give_up_at`, or
+                the request crashed endpoints meanwhile.
         """
         tokens = reservation_tokens(call.metadata.prompt, call.service)
         async with asyncio.timeout(max(0.0, give_up_at - self.attempts.clock())):
@@ -197,9 +198,12 @@
     ) -> MemoryReservation | None:
         attempts = self.attempts
         now = attempts.clock()
+        crash_refusal = attempts.crash_refusal(call)
+        if crash_refusal is not None:
+            raise _RefusedWhileWaiting(crash_refusal)
         backoff_left = attempts.backoff_left(call, Stage.DECODE)
         if now + backoff_left > give_up_at:
-            raise _AllInBackoff(backoff_left)
+            raise _RefusedWhileWaiting(refuse("overloaded", retry_after=backoff_left))
         listed = attempts.replica.registry.accepting(call.service.name, Stage.DECODE)
         ejected = attempts.loads.ejections.active(now)
         usable = [
--- a/tests/forward/test_requests_that_crash.py
+++ b/tests/forward/test_requests_that_crash.py
@@ -69,7 +69,6 @@
 
 # Whether a request is blocked was asked on its arrival only: those that were prefilled
 # or waited for memory meanwhile were still sent.
-@pytest.mark.known_red
 async def test_copies_that_wait_while_a_request_crashes_endpoints_are_not_sent_on():
     async with forwarding_setup() as setup:
         setup.workers["prefill"].prefill_answer = SlowPrefill(0.5)
