--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -10,6 +10,7 @@
 from ebonyglade.audit import AuditTrail
 from ebonyglade.context import Context
 from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.evidence_exchange import EvidenceExchange
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.memory_admission import MemoryAdmission, PrefillLease, Rank
 from ebonyglade.forward.replica_sync import ReplicaSync
@@ -23,6 +24,7 @@
 from ebonyglade.forward.types import Endpoint, EngineReport, Stage, StoreVersion
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
+from ebonyglade.quarantine.evidence import CrashEvidence
 from ebonyglade.wire.fleet import (
     EngineState,
     FleetHeartbeat,
@@ -41,6 +43,7 @@
 # Orders are given only if the replica was confirmed within this time.
 MAX_REPLICA_AGE_S = 2.5
 CHANGE_EXPIRY_S = 1.5  # a stage change that another agent reported counts this long
+FORGET_INTERVAL_S = 1.0  # between two removals of crash evidence that has expired
 MAX_REPORT_AGE_S = 1.0  # memory is granted only on a report that is younger
 # Revisions of one era stay below this power of two. An era and a revision together
 # are still exact for peers that decode numbers as doubles.
@@ -98,8 +101,14 @@
         self.replica = StoreReplica(adapter, context.clock, audit)
         self.replica_sync = ReplicaSync(context, self.replica)
         self.members = FleetMembers(context, seeds, self._compose_heartbeat, capacity)
+        self.crashes = CrashEvidence()
+        self.evidence = EvidenceExchange(self.crashes)
         self.zones = ZoneExchange(
-            context, self.members, False, self.replica_sync.leaving_records
+            context,
+            self.members,
+            False,
+            self.replica_sync.leaving_records,
+            self.evidence,
         )
         self._address = address
         self._report: EngineReport | None = None
@@ -124,6 +133,7 @@
         self.zones.start()
         self.members.start()
         self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
+        self.context.every(FORGET_INTERVAL_S, self.crashes.forget)
         self.context.handle(
             {
                 TokensAdmitted: self._on_tokens_admitted,
@@ -215,6 +225,7 @@
             store=self.replica_sync.store_state(),
             leaving=self.replica_sync.leaving_records(),
             engine=self._engine_state(now),
+            evidence=self.evidence.compose(now, complete),
             capacity=self.members.capacity,
             zoned=True,
         )
@@ -235,6 +246,7 @@
             # The store lists the new stage once the change is complete; a report of
             # another stage is then outdated.
             report.busy and report.stage is own.stage,
+            report.born_ms,
         )
 
     def _on_memory_request(self, sender: Sender, message: MemoryRequest) -> None:
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -18,7 +18,6 @@
     FailureKind,
     ForwardCall,
 )
-from ebonyglade.forward.crash_counts import CrashCounts
 from ebonyglade.forward.endpoint_loads import EndpointLoads
 from ebonyglade.forward.retry_budget import FleetRetryBudget
 from ebonyglade.forward.store_replica import StoreReplica
@@ -31,6 +30,7 @@
     Stage,
 )
 from ebonyglade.ports import Clock
+from ebonyglade.quarantine.evidence import BrokenRun, CrashEvidence
 from ebonyglade.verdict import Refusal, Verdict, combine_verdicts, refuse
 
 logger = logging.getLogger(__name__)
@@ -50,7 +50,7 @@
         replica: local replica of the store with routes and endpoints.
         loads: load and failure rate of endpoints.
         budget: retry budget.
-        crashes: requests under which endpoints crashed.
+        crashes: evidence of requests that crash endpoints.
         clock: seconds.
         rng: source of randomness.
         zone: this instance's availability zone.
@@ -64,7 +64,7 @@
     replica: StoreReplica
     loads: EndpointLoads
     budget: FleetRetryBudget
-    crashes: CrashCounts
+    crashes: CrashEvidence
     clock: Clock
     rng: random.Random
     zone: str
@@ -161,9 +161,10 @@
 
     def crash_refusal(self, call: ForwardCall) -> Refusal | None:
         """Refuse a request that crashes endpoints; asked again after each wait."""
-        if not self.crashes.is_blocked(call.fingerprint, self.clock()):
+        blocked_s = self.crashes.blocked_for(call.fingerprint, self.clock())
+        if not blocked_s:
             return None
-        return refuse("crashes_endpoints")
+        return refuse("crashes_endpoints", retry_after=blocked_s)
 
     def final_refusal(
         self, call: ForwardCall, failure: AttemptFailure | None
@@ -264,9 +265,9 @@
         """
         if status >= 500:
             return
-        crashes = self.crashes.count(call.fingerprint, self.clock())
-        self.crashes.record_success(call.fingerprint)
-        if crashes:
+        now = self.clock()
+        crashes = self.crashes.crashes(call.fingerprint, now)
+        if self.crashes.record_answer(call.fingerprint, now, now) and crashes:
             logger.info(
                 "crashes under a request cleared",
                 extra={
@@ -287,14 +288,15 @@
     def _record_crash(self, call: ForwardCall, endpoint: Endpoint) -> None:
         """Record that an endpoint may have crashed under a request."""
         now = self.clock()
-        self.crashes.record_crash(call.fingerprint, now)
+        run = BrokenRun(endpoint.incarnation, call.fingerprint)
+        self.crashes.record_run(run, now, now)
         logger.info(
             "endpoint may have crashed under a request",
             extra={
                 "request": call.id,
                 "fingerprint": call.fingerprint,
                 "endpoint": endpoint.id,
-                "crashes": self.crashes.count(call.fingerprint, now),
+                "crashes": self.crashes.crashes(call.fingerprint, now),
             },
         )
 
@@ -311,6 +313,7 @@
             self._record_metadata(endpoint, response.metadata)
             self.loads.record_outcome(endpoint.id, response.status >= 500, now)
             self.loads.ejections.record_success([endpoint.id])
+            self.crashes.record_response(endpoint.incarnation, now)
             return
         failure = sent.err_value
         if failure.metadata is not None:
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -15,14 +15,14 @@
 from ebonyglade.forward.agent_client import AgentClient
 from ebonyglade.forward.attempts import MIN_REMAINING_S, AttemptSender
 from ebonyglade.forward.call import EndpointPort, ForwardCall, Reply
-from ebonyglade.forward.crash_counts import CrashCounts, fingerprint
 from ebonyglade.forward.endpoint_loads import EndpointLoads
+from ebonyglade.forward.evidence_exchange import EvidenceExchange
 from ebonyglade.forward.first_attempts import FirstAttempts
 from ebonyglade.forward.generation import GenerationDispatcher
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rate_exchange import RateExchange
-from ebonyglade.forward.rates import FleetRates, RateTolerance, zone_key
+from ebonyglade.forward.rates import FleetRates, RateTolerance
 from ebonyglade.forward.replica_sync import ReplicaSync
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store_replica import (
@@ -30,10 +30,11 @@
     StoreReplica,
     log_store_change,
 )
-from ebonyglade.forward.types import Load, Stage, Workspace
+from ebonyglade.forward.types import Load, Stage, Workspace, incarnation
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.forward.zone_reports import RECENT_TOTALS_S
 from ebonyglade.ports import Sender
+from ebonyglade.quarantine.evidence import CrashEvidence, fingerprint
 from ebonyglade.verdict import Refusal, Verdict, refuse
 from ebonyglade.wire.fleet import EngineState, FleetHeartbeat, RefusalNotice, ZoneReport
 
@@ -87,7 +88,8 @@
         self.replica = StoreReplica(adapter, context.clock, self.audit)
         self.replica_sync = ReplicaSync(context, self.replica)
         self.rates = FleetRates(limits.rates, context.clock(), self._workspace)
-        self.crashes = CrashCounts()
+        self.crashes = CrashEvidence()
+        self.evidence = EvidenceExchange(self.crashes)
         self.first_attempts = FirstAttempts()
         self.loads = EndpointLoads()
         self.buffers = BufferBudget(limits.bodies.buffered_bytes)
@@ -95,7 +97,11 @@
             context, seeds, self._compose_heartbeat, limits.capacity
         )
         self.zones = ZoneExchange(
-            context, self.members, True, self.replica_sync.leaving_records
+            context,
+            self.members,
+            True,
+            self.replica_sync.leaving_records,
+            self.evidence,
         )
         self.rate_exchange = RateExchange(context, self.members, self.rates, self.zones)
         self.attempts = AttemptSender(
@@ -138,7 +144,6 @@
             self.agent_client.on_heartbeat,
             self._on_heartbeat,
         ]
-        self.members.departure_listeners.append(self._on_member_gone)
         self.zones.listeners += [
             self.replica_sync.on_zone_report,
             self.agent_client.on_zone_report,
@@ -351,7 +356,7 @@
             if complete
             else self.rates.spent_since(recent),
             partial=not complete,
-            crashes=self.crashes.own_counts(now),
+            evidence=self.evidence.compose(now, complete),
             leaving=self.replica_sync.leaving_records(),
             capacity=self.members.capacity,
             zoned=True,
@@ -361,36 +366,28 @@
         return heartbeat
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
-        if heartbeat.entry and not self.members.is_represented(member):
-            self.crashes.update_from(member.address, heartbeat.crashes)
         if heartbeat.engine is not None:
             self._record_engine(heartbeat.engine, self.context.clock())
 
     def _on_zone_report(self, report: ZoneReport, at: float) -> None:
-        if not report.partial:
-            self.crashes.update_from(zone_key(report.zone), report.crashes)
         for record in report.engines:
             self._record_engine(record.state, at)
 
     def _record_engine(self, state: EngineState, now: float) -> None:
         memory_estimates = self.generation_dispatcher.reserver.memory_estimates
         memory_estimates.update_from_agent(state, now)
+        reported_at = now - state.age_s
+        self.crashes.record_report(
+            incarnation(state.endpoint, state.born_ms), reported_at
+        )
         endpoint = self.replica.registry.endpoints.get(state.endpoint)
         if endpoint is not None and endpoint.stage is Stage.PREFILL:
             load = Load(state.running, state.waiting, endpoint.slots)
-            self.loads.record_load(endpoint.id, load, now - state.age_s)
-
-    def _on_member_gone(self, member: Member) -> None:
-        self.crashes.remove_entry(member.address)
-
-    def _speaking_names(self) -> set[str]:
-        """Return the names of the members and zones that report crash counts."""
-        names = {item.address for item in self.members.direct()}
-        return names | {zone_key(zone) for zone in self.members.other_zones.reporters}
+            self.loads.record_load(endpoint.id, load, reported_at)
 
     def _clean_up(self, now: float) -> None:
         self.rate_exchange.forget_departed()
-        self.crashes.retain_entries(self._speaking_names())
+        self.crashes.forget(now)
         listed = self.replica.registry.endpoints
         self.loads.retain(listed)
         self.generation_dispatcher.reserver.memory_estimates.retain(listed)
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/evidence_exchange.py
@@ -0,0 +1,90 @@
+"""Exchange of crash evidence between the processes of a fleet.
+
+A process tells others at once what it observed itself. What has led to a block is
+repeated from time to time by every process that knows it, so that those which were
+started since, or missed it, learn of it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ebonyglade.quarantine.evidence import (
+    MAX_CRASHES,
+    BrokenRun,
+    CrashEvidence,
+    KnownRun,
+    Source,
+)
+from ebonyglade.wire.fleet import AnswerRecord, BrokenRunRecord, EvidenceRecords
+
+SPREAD_S = 1.0  # time for which new evidence is in each message
+MAX_RECORDS = 64  # of a kind in one message, the newest
+REPEATED_RUNS = MAX_CRASHES + 1  # of a blocked request; one of them may be voided
+
+
+@dataclass(slots=True)
+class EvidenceExchange:
+    """Composes and merges the records that messages carry.
+
+    Attributes:
+        evidence: what this process knows.
+    """
+
+    evidence: CrashEvidence
+
+    def compose(
+        self, now: float, complete: bool, source: Source = Source.OWN
+    ) -> EvidenceRecords | None:
+        """Return the records for a message; None if there are none.
+
+        Args:
+            now: the time.
+            complete: whether to repeat the evidence against blocked requests.
+            source: the furthest source of which new evidence is told.
+        """
+        runs = [
+            known
+            for known in self.evidence.runs()
+            if known.source <= source and now - known.learned_at < SPREAD_S
+        ]
+        if complete:
+            runs += self._runs_of_blocked(now, runs)
+        answers = [
+            AnswerRecord(known.request, _age(known.at, now))
+            for known in self.evidence.answers()
+            if known.source <= source and now - known.learned_at < SPREAD_S
+        ]
+        if not runs and not answers:
+            return None
+        runs.sort(key=lambda known: -known.at)
+        return EvidenceRecords(
+            [_run_record(known, now) for known in runs[:MAX_RECORDS]],
+            answers[:MAX_RECORDS],
+        )
+
+    def merge(self, records: EvidenceRecords, at: float, source: Source) -> None:
+        """Merge records of a message that was composed at a time."""
+        for run in records.runs:
+            known = BrokenRun(run.endpoint, run.request)
+            self.evidence.record_run(known, at - run.age_s, at, source)
+        for answer in records.answers:
+            self.evidence.record_answer(answer.request, at - answer.age_s, at, source)
+
+    def _runs_of_blocked(
+        self, now: float, told: Iterable[KnownRun]
+    ) -> Iterable[KnownRun]:
+        told_ids = {id(known) for known in told}
+        return [
+            known
+            for request in self.evidence.blocked(now)
+            for known in self.evidence.runs_of(request)[:REPEATED_RUNS]
+            if id(known) not in told_ids
+        ]
+
+
+def _run_record(known: KnownRun, now: float) -> BrokenRunRecord:
+    return BrokenRunRecord(known.run.endpoint, known.run.request, _age(known.at, now))
+
+
+def _age(at: float, now: float) -> float:
+    return round(now - at, 3)
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -177,6 +177,16 @@
     stage: Stage | None = None
     born_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Identifies one start of the endpoint, which may keep its id."""
+        return incarnation(self.id, self.born_ms)
+
+
+def incarnation(endpoint: str, born_ms: int) -> str:
+    """Return what identifies one start of an endpoint."""
+    return f"{endpoint}@{born_ms}"
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ebonyglade.context import Context
+from ebonyglade.forward.evidence_exchange import EvidenceExchange
 from ebonyglade.forward.members import REPORTERS_PER_ZONE, FleetMembers, Member
 from ebonyglade.forward.zone_reports import (
     RECENT_TOTALS_S,
@@ -20,6 +21,7 @@
 )
 from ebonyglade.forward.zone_totals import ZoneTotals
 from ebonyglade.ports import Sender
+from ebonyglade.quarantine.evidence import Source
 from ebonyglade.wire.fleet import (
     EngineRecord,
     EngineState,
@@ -34,6 +36,7 @@
 TICK_S = 0.05  # between two checks for what is to be reported
 MIN_PARTIAL_INTERVAL_S = 0.02  # between two reports of totals that changed
 REPORT_INTERVAL_S = 0.3  # between two full reports
+EVIDENCE_EVERY = 10  # full reports that repeat the evidence against blocked requests
 ENGINE_MAX_AGE_S = 2.0  # engine states that are older are not reported
 # A process that has just started does not know the members of its zone yet.
 SETTLE_S = 1.0
@@ -60,6 +63,7 @@
         members: the members of the fleet.
         entry: whether this process takes callers' requests.
         leaving: returns the endpoints that told this process that they leave.
+        evidence: exchanges evidence of requests that crash endpoints.
         listeners: called with each new report of another zone.
     """
 
@@ -67,9 +71,9 @@
     members: FleetMembers
     entry: bool
     leaving: Callable[[], list[LeavingRecord]]
+    evidence: EvidenceExchange
     listeners: list[ReportListener] = field(default_factory=list)
     _totals: ZoneTotals = field(default_factory=ZoneTotals)
-    _crashes: dict[str, dict[str, int]] = field(default_factory=dict)
     _leaving: dict[str, list[LeavingRecord]] = field(default_factory=dict)
     _engines: dict[str, _KnownEngine] = field(default_factory=dict)
     _reports: ZoneReportTable = field(default_factory=ZoneReportTable)
@@ -184,9 +188,9 @@
             reporters=self.members.zone_reporters(now)[:LISTED_REPORTERS],
             spent=dict(self._totals.sums) if complete else recent,
             engines=self._fresh_engines(now),
-            crashes=self._crash_counts(),
             leaving=self._leaving_records(),
             complete=complete,
+            evidence=self.evidence.compose(now, self._repeats_evidence(), Source.ZONE),
         )
 
     def _partial_report(self) -> ZoneReport:
@@ -216,12 +220,8 @@
             if now - known.at < ENGINE_MAX_AGE_S
         ]
 
-    def _crash_counts(self) -> dict[str, int]:
-        sums: dict[str, int] = {}
-        for counts in self._crashes.values():
-            for key, count in counts.items():
-                sums[key] = sums.get(key, 0) + count
-        return sums
+    def _repeats_evidence(self) -> bool:
+        return self._full_reports % EVIDENCE_EVERY == 1
 
     def _leaving_records(self) -> list[LeavingRecord]:
         records = {record.endpoint: record for record in self.leaving()}
@@ -230,6 +230,9 @@
         return list(records.values())
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
+        if heartbeat.evidence is not None:
+            now = self.context.clock()
+            self.evidence.merge(heartbeat.evidence, now, Source.ZONE)
         if member.zone == self.members.zone and member.zoned:
             self._record(member.address, member.incarnation, heartbeat)
 
@@ -240,8 +243,7 @@
         complete = not heartbeat.partial
         if heartbeat.entry:
             self._totals.apply(address, incarnation, heartbeat.spent, complete, now)
-        _set_or_drop(self._crashes, address, heartbeat.crashes)
-        _set_or_drop(self._leaving, address, heartbeat.leaving)
+        self._leaving[address] = heartbeat.leaving
         if heartbeat.engine is not None:
             self._engines[address] = _KnownEngine(heartbeat.engine, now)
 
@@ -259,6 +261,8 @@
         for address in report.reporters:
             self.members.introduce(address, report.zone)
         if self.members.divided:
+            if report.evidence is not None:
+                self.evidence.merge(report.evidence, at, Source.ELSEWHERE)
             for listener in self.listeners:
                 listener(report, at)
         if report.partial and self._is_first_reporter(now):
@@ -268,21 +272,13 @@
         return self.members.zone_reporters(now)[0] == self.members.address
 
     def _on_member_gone(self, member: Member) -> None:
-        for known in (self._crashes, self._leaving, self._engines):
+        for known in (self._leaving, self._engines):
             known.pop(member.address, None)
 
     def _forget(self, now: float) -> None:
         self._reports.forget(now)
         names = {item.address for item in self.members.all()} | {self.members.address}
         self._totals.retain(names)
-        for by_address in (self._crashes, self._leaving, self._engines):
+        for by_address in (self._leaving, self._engines):
             for address in set(by_address) - names:
                 del by_address[address]
-
-
-def _set_or_drop(known: dict, key: str, value: object) -> None:
-    """Set a value, or drop the key if the value is empty."""
-    if value:
-        known[key] = value
-    else:
-        known.pop(key, None)
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
@@ -0,0 +1,200 @@
+"""Evidence of requests that crash endpoints, joined from all processes of a fleet.
+
+A run that broke off is evidence against its request. Evidence of one endpoint and
+request counts once, whoever observed it and however often it is reported, so that it
+can be passed on freely and outlives the process that observed it. A whole answer to the
+request voids earlier evidence, and so does proof that the endpoint still lived after
+the run broke off: then its connection was reset, or its answer was spoiled.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from ebonyglade.hashing import hexdigest
+
+MAX_CRASHES = 3  # endpoints that may end under a request before it is blocked
+SUSPICION_S = 120.0  # crashes further apart than this do not count together
+BLOCKED_S = 600.0  # since the last crash
+MAX_RUNS = 4096  # remembered in all; the oldest are forgotten first
+DIGEST_BYTES = 12
+# Reports of one event from different processes seem apart by the delays of their
+# messages.
+MAX_DELAY_S = 1.0
+# An endpoint that responds so soon after a run broke off is not one that was started
+# again, and no response was on its way so long.
+RESPONSE_DELAY_S = 0.2
+RESTART_S = 1.0
+
+
+def fingerprint(workspace: str, method: str, target: str, body: bytes) -> str:
+    """Return a hash that a request and its retries share."""
+    parts = (workspace.encode(), method.encode(), target.encode(), body)
+    return hexdigest(parts, DIGEST_BYTES)
+
+
+class Source(IntEnum):
+    """The closest process that reported a piece of evidence."""
+
+    OWN = 0
+    ZONE = 1  # another process of the availability zone, or of an undivided fleet
+    ELSEWHERE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run that broke off, perhaps because its endpoint crashed.
+
+    Attributes:
+        endpoint: the endpoint's incarnation.
+        request: fingerprint of the request.
+    """
+
+    endpoint: str
+    request: str
+
+
+@dataclass(slots=True)
+class KnownRun:
+    """A broken run as it is known here; times are in seconds of the own clock."""
+
+    run: BrokenRun
+    at: float
+    learned_at: float
+    source: Source
+
+
+@dataclass(slots=True)
+class KnownAnswer:
+    """The last whole answer to a request with broken runs."""
+
+    request: str
+    at: float
+    learned_at: float
+    source: Source
+
+
+@dataclass(slots=True)
+class CrashEvidence:
+    """All evidence that this process knows of."""
+
+    _runs: dict[str, dict[str, KnownRun]] = field(default_factory=dict)
+    _answers: dict[str, KnownAnswer] = field(default_factory=dict)
+    _broke_off_at: dict[str, float] = field(default_factory=dict)
+    _alive_until: dict[str, float] = field(default_factory=dict)
+
+    def record_run(
+        self, run: BrokenRun, at: float, now: float, source: Source = Source.OWN
+    ) -> bool:
+        """Record a run that broke off; return whether it was not known yet."""
+        runs = self._runs.setdefault(run.request, {})
+        known = runs.get(run.endpoint)
+        if known is not None:
+            known.at = min(known.at, at)
+            return False
+        runs[run.endpoint] = KnownRun(run, at, now, source)
+        self._broke_off_at[run.endpoint] = at
+        if sum(map(len, self._runs.values())) > MAX_RUNS:
+            self._forget_oldest()
+        return True
+
+    def record_answer(
+        self, request: str, at: float, now: float, source: Source = Source.OWN
+    ) -> bool:
+        """Record a whole answer; return whether it voids evidence known so far."""
+        if request not in self._runs:
+            return False
+        known = self._answers.get(request)
+        if known is not None and at < known.at + MAX_DELAY_S:
+            return False
+        self._answers[request] = KnownAnswer(request, at, now, source)
+        return True
+
+    def record_report(self, endpoint: str, at: float) -> None:
+        """Record that an endpoint's incarnation reported its state."""
+        self._record_alive(endpoint, at - MAX_DELAY_S)
+
+    def record_response(self, endpoint: str, now: float) -> None:
+        """Record that an endpoint responded to some request."""
+        since = now - self._broke_off_at.get(endpoint, float("-inf"))
+        if RESPONSE_DELAY_S < since < RESTART_S:
+            self._record_alive(endpoint, now - RESPONSE_DELAY_S)
+
+    def crashes(self, request: str, now: float) -> int:
+        """Return the number of endpoints that crashed under a request lately."""
+        times = self._crash_times(request)
+        if not times or now - times[-1] >= SUSPICION_S:
+            return 0
+        return _count_together(times)
+
+    def blocked_for(self, request: str, now: float) -> float:
+        """Return the seconds for which a request must not be sent; 0 if it may be."""
+        if request not in self._runs:
+            return 0.0
+        times = self._crash_times(request)
+        if _count_together(times) < MAX_CRASHES:
+            return 0.0
+        return max(0.0, times[-1] + BLOCKED_S - now)
+
+    def blocked(self, now: float) -> list[str]:
+        """Return the fingerprints of the requests that must not be sent."""
+        return [request for request in self._runs if self.blocked_for(request, now)]
+
+    def runs(self) -> Iterator[KnownRun]:
+        """Iterate over all broken runs that are known."""
+        for runs in self._runs.values():
+            yield from runs.values()
+
+    def runs_of(self, request: str) -> list[KnownRun]:
+        """Return the broken runs of a request, the newest first."""
+        runs = self._runs.get(request, {}).values()
+        return sorted(runs, key=lambda known: -known.at)
+
+    def answers(self) -> Iterator[KnownAnswer]:
+        """Iterate over the whole answers that are known."""
+        yield from self._answers.values()
+
+    def forget(self, now: float) -> None:
+        """Forget what is too old to count."""
+        for request, runs in list(self._runs.items()):
+            if all(now - known.at >= BLOCKED_S for known in runs.values()):
+                self._forget_request(request)
+        for times in (self._broke_off_at, self._alive_until):
+            for endpoint, at in list(times.items()):
+                if now - at >= BLOCKED_S:
+                    del times[endpoint]
+
+    def _crash_times(self, request: str) -> list[float]:
+        """Return the times of the crashes that count, in order."""
+        answer = self._answers.get(request)
+        since = answer.at if answer else float("-inf")
+        return sorted(
+            known.at
+            for known in self._runs.get(request, {}).values()
+            if known.at > since and not self._lived_on(known)
+        )
+
+    def _lived_on(self, known: KnownRun) -> bool:
+        alive_until = self._alive_until.get(known.run.endpoint, float("-inf"))
+        return alive_until > known.at
+
+    def _record_alive(self, endpoint: str, until: float) -> None:
+        known = self._alive_until.get(endpoint, float("-inf"))
+        self._alive_until[endpoint] = max(known, until)
+
+    def _forget_oldest(self) -> None:
+        """Forget the request whose last evidence is the oldest."""
+        newest = {
+            request: max(known.at for known in runs.values())
+            for request, runs in self._runs.items()
+        }
+        self._forget_request(min(newest, key=newest.get))
+
+    def _forget_request(self, request: str) -> None:
+        del self._runs[request]
+        self._answers.pop(request, None)
+
+
+def _count_together(times: list[float]) -> int:
+    """Return how many of the times, in order, lie close enough before the last."""
+    return sum(times[-1] - at < SUSPICION_S for at in times)
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -64,6 +64,39 @@
     revision: int
 
 
+class BrokenRunRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A run that broke off, perhaps because its endpoint crashed.
+
+    Attributes:
+        endpoint: the endpoint's incarnation.
+        request: fingerprint of the request.
+        age_s: seconds since it broke off.
+    """
+
+    endpoint: str
+    request: str
+    age_s: float
+
+
+class AnswerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A whole answer to a request of which runs broke off before.
+
+    Attributes:
+        request: fingerprint of the request.
+        age_s: seconds since the answer was complete.
+    """
+
+    request: str
+    age_s: float
+
+
+class EvidenceRecords(msgspec.Struct, frozen=True, array_like=True):
+    """Evidence for and against requests that may crash endpoints."""
+
+    runs: list[BrokenRunRecord] = []
+    answers: list[AnswerRecord] = []
+
+
 class EngineState(msgspec.Struct, frozen=True, array_like=True):
     """State of a model endpoint, as reported by the agent beside it.
 
@@ -74,6 +107,7 @@
         waiting: number of waiting requests.
         age_s: age of the report in seconds.
         changing: whether the endpoint is switching to its other stage.
+        born_ms: Unix milliseconds of the endpoint's start; 0 if not known.
     """
 
     endpoint: str
@@ -82,6 +116,7 @@
     waiting: int
     age_s: float
     changing: bool = False
+    born_ms: int = 0
 
 
 class FleetHeartbeat(Message, tag="Beat"):
@@ -98,8 +133,8 @@
         spent: tokens that the sender admitted since its start, by workspace.
         partial: whether `spent` has only the workspaces whose totals changed lately.
         engine: state of the endpoint beside the sender, if it has one.
-        crashes: number of endpoint crashes that the sender itself observed, by
-            fingerprint of the request that was running.
+        evidence: evidence of requests that crash endpoints; None if there is none to
+            tell.
         leaving: endpoints that told the sender that they leave.
         capacity: rate of the sender's network link in Mbit/s; 0 if not known.
         zoned: whether the sender understands `ZoneReports`, so that in a large fleet
@@ -114,7 +149,7 @@
     store: StoreState = StoreState()
     spent: dict[str, float] = {}
     engine: EngineState | None = None
-    crashes: dict[str, int] = {}
+    evidence: EvidenceRecords | None = None
     leaving: list[LeavingRecord] = []
     partial: bool = False
     capacity: float = 0.0
@@ -149,9 +184,11 @@
         partial: whether the report has only the workspaces whose totals changed
             lately, and nothing else.
         engines: states of the model endpoints in the zone.
-        crashes: endpoint crashes that the zone's entries observed, by fingerprint.
+        crashes: not used any more; older builds send counts.
         leaving: endpoints that told a member of the zone that they leave.
         complete: whether `spent` has all workspaces.
+        evidence: evidence of requests that crash endpoints; None if there is none to
+            tell.
     """
 
     zone: str
@@ -169,6 +206,7 @@
     leaving: list[LeavingRecord] = []
     complete: bool = False
     silent: int = 0
+    evidence: EvidenceRecords | None = None
 
 
 class ZoneReports(Message):
--- /dev/null
+++ b/tests/forward/test_crash_evidence_exchange.py
@@ -0,0 +1,113 @@
+"""Evidence of requests that crash endpoints, in fleets on the simulated network."""
+
+import asyncio
+import random
+
+import pytest
+
+from ebonyglade.quarantine.evidence import BrokenRun
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.network import Network
+from helpers.entries import Entry
+
+JOIN_S = 3.0
+MAX_SPREAD_S = 3.0  # until no process sends such a request any more
+
+
+def start_fleet(count, zones, lose=0.0):
+    network = Network(random.Random(1))
+    network.faults.lose = lose
+    entries = [Entry(network, f"e{n}", zone=f"z{n % zones}") for n in range(count)]
+    return network, entries
+
+
+def crash(entry, endpoint, request="f"):
+    entry.core.crashes.record_run(BrokenRun(endpoint, request), entry.now, entry.now)
+
+
+def crash_three(entries):
+    for number, entry in enumerate(entries[:3]):
+        crash(entry, f"endpoint-{number}")
+
+
+def blocked(entries):
+    return [bool(entry.core.crashes.blocked_for("f", entry.now)) for entry in entries]
+
+
+@pytest.mark.parametrize(
+    ("count", "zones", "lose"), [(8, 4, 0.0), (30, 3, 0.1), (76, 6, 0.1)]
+)
+def test_a_request_that_crashed_three_endpoints_is_blocked_at_all_entries(
+    count, zones, lose
+):
+    """Each time at another entry; some messages are lost."""
+
+    async def scenario():
+        _, entries = start_fleet(count, zones, lose)
+        await asyncio.sleep(JOIN_S)
+        crash_three(entries)
+        await asyncio.sleep(MAX_SPREAD_S)
+        return blocked(entries)
+
+    assert all(run(scenario()))
+
+
+# Counts were sums of what each entry says now: they went with the entries.
+@pytest.mark.parametrize(("count", "zones"), [(8, 4), (30, 3)])
+def test_a_request_stays_blocked_when_the_entries_that_observed_it_end(count, zones):
+    async def scenario():
+        _, entries = start_fleet(count, zones)
+        await asyncio.sleep(JOIN_S)
+        crash_three(entries)
+        await asyncio.sleep(MAX_SPREAD_S)
+        for entry in entries[:3]:
+            entry.process.kill()
+        await asyncio.sleep(60.0)
+        return blocked(entries[3:])
+
+    assert all(run(scenario()))
+
+
+# An entry that was started again at its address dropped what it had reported before.
+def test_a_request_stays_blocked_when_all_entries_are_started_again_in_turn():
+    async def scenario():
+        network, entries = start_fleet(6, 2)
+        await asyncio.sleep(JOIN_S)
+        crash_three(entries)
+        await asyncio.sleep(MAX_SPREAD_S)
+        for number, entry in enumerate(entries):
+            entry.process.kill()
+            network.detach(f"e{number}")
+            entries[number] = Entry(
+                network, f"e{number}", zone=f"z{number % 2}", incarnation="2"
+            )
+            await asyncio.sleep(JOIN_S)
+        return blocked(entries)
+
+    assert all(run(scenario()))
+
+
+def test_crashes_of_one_endpoint_that_several_entries_observe_count_once():
+    async def scenario():
+        _, entries = start_fleet(20, 2)
+        await asyncio.sleep(JOIN_S)
+        for entry in entries:
+            crash(entry, "endpoint-1")
+        crash(entries[0], "endpoint-2")
+        await asyncio.sleep(MAX_SPREAD_S)
+        return {entry.core.crashes.crashes("f", entry.now) for entry in entries}
+
+    assert run(scenario()) == {2}
+
+
+def test_a_whole_answer_clears_a_request_at_all_entries():
+    async def scenario():
+        _, entries = start_fleet(30, 3)
+        await asyncio.sleep(JOIN_S)
+        crash_three(entries)
+        await asyncio.sleep(MAX_SPREAD_S)
+        entries[20].core.crashes.record_answer("f", entries[20].now, entries[20].now)
+        await asyncio.sleep(MAX_SPREAD_S)
+        return blocked(entries)
+
+    assert not any(run(scenario()))
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -145,7 +145,7 @@
         attempts = attempt_sender(port, clock, endpoint("a"), endpoint("b"))
         request = forward_call(clock)
         await PlainDispatcher(attempts).run(request)
-        return attempts.crashes.count(request.fingerprint, clock())
+        return attempts.crashes.crashes(request.fingerprint, clock())
 
     assert run(scenario()) == crashes
 
--- a/tests/forward/test_small_parts.py
+++ b/tests/forward/test_small_parts.py
@@ -5,7 +5,6 @@
 import pytest
 
 from ebonyglade.completeness import Content
-from ebonyglade.forward.crash_counts import MAX_CRASHES, CrashCounts, fingerprint
 from ebonyglade.forward.endpoint_loads import EndpointLoads
 from ebonyglade.forward.events import EventSplitter
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
@@ -108,30 +107,6 @@
     assert splitter.content is content
 
 
-def test_a_request_that_crashed_three_endpoints_is_blocked_at_all_entries():
-    here, there = CrashCounts(), CrashCounts()
-    item = fingerprint("w", "POST", "/a", b"x")
-    assert item != fingerprint("w", "POST", "/a", b"y")
-    here.record_crash(item, 0.0)
-    here.record_crash(item, 1.0)
-    there.record_crash(item, 2.0)
-    assert not here.is_blocked(item, 2.0)
-    here.update_from("there", there.own_counts(2.0))
-    assert MAX_CRASHES == 3
-    assert here.is_blocked(item, 2.0)
-    here.remove_entry("there")
-    assert not here.is_blocked(item, 2.0)
-
-
-def test_a_success_resets_the_crash_count_of_a_request():
-    crashes = CrashCounts()
-    for _ in range(2):
-        crashes.record_crash("f", 0.0)
-    crashes.record_success("f")
-    crashes.record_crash("f", 0.0)
-    assert not crashes.is_blocked("f", 0.0)
-
-
 def test_the_least_loaded_endpoint_that_is_not_ejected_is_chosen():
     loads, rng = EndpointLoads(), random.Random(1)
     listed = [endpoint("a"), endpoint("b"), endpoint("c")]
--- a/tests/forward/test_zones.py
+++ b/tests/forward/test_zones.py
@@ -191,20 +191,6 @@
     assert all(arrived - FIRST_ATTEMPT_TTL_S < at_time < arrived for at_time in first)
 
 
-def test_crashes_are_counted_over_all_zones():
-    """A request crashes three endpoints, each time at an entry of another zone."""
-
-    async def scenario():
-        _, entries = start_fleet(30, 3)
-        await asyncio.sleep(JOIN_S)
-        for entry in entries[:3]:
-            entry.core.crashes.record_crash("f", entry.now)
-        await asyncio.sleep(1.5)
-        return [entry.core.crashes.is_blocked("f", entry.now) for entry in entries]
-
-    assert all(run(scenario()))
-
-
 GRANTED = RateTolerance(overage=0.25, slack=73_000.0, first_start=True)
 COST = 10_000.0
 
--- a/tests/helpers/forwarding.py
+++ b/tests/helpers/forwarding.py
@@ -6,7 +6,6 @@
 from ebonyglade.context import Context, Identity
 from ebonyglade.forward.attempts import AttemptSender
 from ebonyglade.forward.call import ForwardCall
-from ebonyglade.forward.crash_counts import CrashCounts
 from ebonyglade.forward.endpoint_loads import EndpointLoads
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store_replica import StoreReplica
@@ -25,6 +24,7 @@
     StoreVersion,
     Workspace,
 )
+from ebonyglade.quarantine.evidence import CrashEvidence
 from ebonyglade_lab.virtual.adapter import encode_document, plain_adapter as adapter
 
 ENGINE = EngineProfile(12, 80_000, 0.5, 6.0, 2.0)
@@ -113,7 +113,7 @@
         replica=replica,
         loads=EndpointLoads(),
         budget=FleetRetryBudget(RetryBudgetLimits(0.2, 10.0, 50.0)),
-        crashes=CrashCounts(),
+        crashes=CrashEvidence(),
         clock=clock,
         rng=random.Random(3),
         zone="z",
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,123 @@
+"""Evidence of requests that crash endpoints, as one process keeps it."""
+
+from hypothesis import given, settings, strategies as st
+
+from ebonyglade.quarantine.evidence import (
+    BLOCKED_S,
+    MAX_CRASHES,
+    MAX_DELAY_S,
+    MAX_RUNS,
+    SUSPICION_S,
+    BrokenRun,
+    CrashEvidence,
+    Source,
+    fingerprint,
+)
+
+
+def crashed(*times, request="f"):
+    """Return the evidence of crashes of different endpoints."""
+    evidence = CrashEvidence()
+    for number, at in enumerate(times):
+        evidence.record_run(BrokenRun(f"endpoint-{number}", request), at, at)
+    return evidence
+
+
+def test_a_fingerprint_tells_workspaces_targets_and_bodies_apart():
+    same = fingerprint("w", "POST", "/a", b"x")
+    assert same == fingerprint("w", "POST", "/a", b"x")
+    others = [("v", "/a", b"x"), ("w", "/b", b"x"), ("w", "/a", b"y")]
+    assert all(
+        fingerprint(workspace, "POST", target, body) != same
+        for workspace, target, body in others
+    )
+
+
+def test_a_request_is_blocked_from_its_third_crash_on_and_not_for_ever():
+    assert not crashed(0.0, 1.0).blocked_for("f", 2.0)
+    evidence = crashed(0.0, 1.0, 2.0)
+    assert evidence.blocked_for("f", 2.0) == BLOCKED_S
+    assert evidence.blocked_for("f", 1.0 + BLOCKED_S) == 1.0
+    assert not evidence.blocked_for("f", 2.0 + BLOCKED_S)
+    assert not evidence.blocked_for("g", 2.0)
+
+
+def test_crashes_that_are_far_apart_do_not_count_together():
+    assert not crashed(0.0, 1.0, 1.0 + SUSPICION_S).blocked_for("f", 130.0)
+    assert crashed(0.0, 1.0).crashes("f", 1.0 + SUSPICION_S) == 0
+
+
+def test_runs_that_break_off_at_one_endpoint_count_once():
+    evidence = CrashEvidence()
+    for at in (0.0, 1.0, 2.0):
+        evidence.record_run(BrokenRun("endpoint", "f"), at, at)
+    assert evidence.crashes("f", 2.0) == 1
+
+
+def test_a_whole_answer_voids_earlier_evidence_only():
+    evidence = crashed(0.0, 1.0, 2.0)
+    assert evidence.record_answer("f", 1.5, 3.0)
+    assert evidence.crashes("f", 3.0) == 1
+    assert not evidence.record_answer("unknown", 1.5, 3.0)
+
+
+# Three unlucky resets must not block a sound request.
+def test_a_run_that_an_endpoint_outlived_is_no_evidence():
+    evidence = crashed(0.0, 1.0, 2.0)
+    evidence.record_report("endpoint-1", 1.0 + MAX_DELAY_S)
+    assert evidence.crashes("f", 3.0) == 3
+    evidence.record_report("endpoint-1", 1.5 + MAX_DELAY_S)
+    assert evidence.crashes("f", 3.0) == 2
+    evidence.record_response("endpoint-2", 2.5)
+    assert evidence.crashes("f", 3.0) == 1
+
+
+# It may have been started again with the same id.
+def test_an_endpoint_that_responds_long_after_a_run_broke_off_may_be_a_new_one():
+    evidence = crashed(0.0)
+    evidence.record_response("endpoint-0", 3.0)
+    evidence.record_response("endpoint-0", 0.1)
+    assert evidence.crashes("f", 3.0) == 1
+
+
+def test_only_a_bounded_number_of_runs_is_kept_and_the_newest_are():
+    evidence = CrashEvidence()
+    for number in range(MAX_RUNS + 10):
+        evidence.record_run(BrokenRun("endpoint", f"f-{number}"), number, number)
+    assert sum(1 for _ in evidence.runs()) == MAX_RUNS
+    assert evidence.crashes(f"f-{MAX_RUNS + 9}", MAX_RUNS + 9) == 1
+    assert evidence.crashes("f-0", 1.0) == 0
+
+
+def test_evidence_is_forgotten_when_it_does_not_count_any_more():
+    evidence = crashed(0.0, 1.0)
+    evidence.record_answer("f", 5.0, 5.0)
+    evidence.forget(1.0 + BLOCKED_S)
+    assert not list(evidence.runs())
+    assert not list(evidence.answers())
+
+
+reports = st.lists(
+    st.tuples(st.integers(0, 5), st.sampled_from("fg"), st.floats(0.0, 100.0)),
+    max_size=30,
+)
+
+
+# However often and in whatever order reports arrive, all processes agree.
+@settings(derandomize=True, deadline=None)
+@given(reports, st.randoms(use_true_random=False))
+def test_joined_evidence_does_not_depend_on_order_or_repeats(items, rng):
+    def joined(reported):
+        evidence = CrashEvidence()
+        for endpoint, request, at in reported:
+            run = BrokenRun(f"endpoint-{endpoint}", request)
+            evidence.record_run(run, at, 100.0, Source.ZONE)
+        return [evidence.crashes(request, 100.0) for request in "fg"]
+
+    shuffled = items + items
+    rng.shuffle(shuffled)
+    assert joined(items) == joined(shuffled)
+    distinct = {(endpoint, request) for endpoint, request, _ in items}
+    expected = [sum(item[1] == request for item in distinct) for request in "fg"]
+    assert joined(items) == expected
+    assert MAX_CRASHES == 3
