--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -296,6 +296,7 @@
                 "request": call.id,
                 "fingerprint": call.fingerprint,
                 "endpoint": endpoint.id,
+                "parts": ",".join(call.prompt_parts),
                 "crashes": self.crashes.crashes(call.fingerprint, now),
             },
         )
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -85,6 +85,12 @@
         own = self.workspace.priority if self.workspace else None
         return self.route.priority if own is None else own
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may share: all but the last."""
+        prompt = self.metadata.prompt
+        return () if prompt is None else tuple(part.id for part in prompt.parts[:-1])
+
     @property
     def first_asked_at(self) -> float:
         """When the caller sent the first attempt."""
