--- a/tests/forward/test_requests_that_crash.py
+++ b/tests/forward/test_requests_that_crash.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 
-from helpers.crashes import CrashingEndpoint
+from helpers.crashes import CrashingEndpoint, ask
 from helpers.forwarding_path import MODEL, forwarding_setup
 
 # Endpoints may end under a request three times, and it may be sent three times more
@@ -13,16 +12,6 @@
 MAX_SENT = 6
 
 
-async def ask(setup, endpoint, body, target="/write/x", **headers):
-    """Send a request, and wait until the endpoint is known again."""
-    try:
-        status, _, _ = await setup.ask(target, "POST", body=body, **headers)
-    except aiohttp.ClientError:
-        status = None
-    await setup.until(lambda: endpoint.is_known(setup.entry))
-    return status
-
-
 # An answer that was broken off after its head did not count as a crash, so that a
 # request ended one endpoint after the other.
 @pytest.mark.parametrize(
--- a/tests/helpers/crashes.py
+++ b/tests/helpers/crashes.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import aiohttp
+
 from ebonyglade.completeness import Framing
 from helpers.scripted_answers import ScriptedAnswer, reset
 
@@ -30,6 +32,7 @@
         point: what it has sent when it crashes, see `CRASH_POINTS`.
         framing: what marks the end of its answers.
         keeps_id: whether it comes back with the same id.
+        down_s: seconds until it is listed again.
         crashes: number of crashes.
         sent: bodies of the requests that were sent to it.
     """
@@ -40,6 +43,7 @@
     point: str = "after_an_event"
     framing: Framing = Framing.CHUNKS
     keeps_id: bool = False
+    down_s: float = 0.1
     crashes: int = 0
     sent: list = field(default_factory=list)
     _open: set = field(default_factory=set)
@@ -76,6 +80,7 @@
         self.worker.born_ms += 1
         self.worker.holds.clear()
         await self.store.remove(f"servers/{listed_as}")
+        await asyncio.sleep(self.down_s)
         registration = self.worker.registration(self.service)
         await self.store.put(f"servers/{self.worker.name}", registration)
 
@@ -83,3 +88,13 @@
         """Return whether an entry knows the instance that runs now."""
         listed = entry.entry.replica.registry.endpoints.get(self.worker.name)
         return listed is not None and listed.born_ms == self.worker.born_ms
+
+
+async def ask(setup, endpoint, body, target="/write/x", **headers):
+    """Send a request, and wait until the endpoint is known again."""
+    try:
+        status, _, _ = await setup.ask(target, "POST", body=body, **headers)
+    except aiohttp.ClientError:
+        status = None
+    await setup.until(lambda: endpoint.is_known(setup.entry))
+    return status
