--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -254,7 +254,7 @@
         )
         if error.cause is not Ending.NO_MEMORY:
             self.loads.record_outcome(endpoint.id, True, self.clock())
-        if error.may_be_crash and runs_request:
+        if error.may_be_crash:
             self._record_crash(call, endpoint)
         late = error.cause is Ending.LATE
         kind = FailureKind.LATE if late else FailureKind.BROKEN
--- a/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
@@ -170,7 +170,7 @@
 
     def blocked_for(self, request: str, now: float) -> float:
         """Return the seconds for which a request must not be sent; 0 if it may be."""
-        if request not in self._runs:
+        if len(self._runs.get(request, ())) < MAX_CRASHES:
             return 0.0
         times = self._crash_times(request)
         if _count_together(times) < MAX_CRASHES:
--- a/tests/forward/test_requests_that_crash.py
+++ b/tests/forward/test_requests_that_crash.py
@@ -46,6 +46,22 @@
         return endpoint.sent.count(b"bad")
 
 
+# Only a prefill that was lost before its head counted.
+@pytest.mark.parametrize("point", ["before_its_head", "after_its_head"])
+async def test_a_request_that_crashes_prefill_endpoints_is_not_sent_on(point):
+    async with forwarding_setup() as setup:
+        endpoint = CrashingEndpoint(
+            setup.store,
+            setup.workers["prefill"],
+            lambda headers, body: body == b"bad",
+            point,
+        )
+        for number in range(12):
+            headers = {**MODEL, "X-Request-Id": f"id-{number}"}
+            await ask(setup, endpoint, b"bad", **headers)
+        assert endpoint.sent.count(b"bad") <= MAX_SENT
+
+
 class SlowPrefill:
     """Delays prefills."""
 
--- a/tests/helpers/crashes.py
+++ b/tests/helpers/crashes.py
@@ -50,7 +50,7 @@
     _restart: asyncio.Task | None = None
 
     def __post_init__(self):
-        self.worker.answer = self
+        self.worker.answer = self.worker.prefill_answer = self
         self.listed_as = self.worker.name
         self.service = "model" if self.worker.stage else "plain"
 
