Log a response that is cut in one line, without a traceback of the HTTP library

Each stream that an endpoint broke off left an ERROR line 'Error handling request' with a traceback beside its own line, at a rate that callers decide. Cause: the handler raised after it had cut the connection. The test saw two tracebacks before and none now.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -148,8 +148,7 @@
         except (IncompleteResponse, ConnectionError) as error:
             outcome = f"cut: {error}"
             self._log_cut(request, call, error)
-            cut_response(request)
-            raise ConnectionResetError("response ended early") from error
+            return cut_response(request)
         except Exception:
             logger.exception("request failed", extra={"request": call and call.id})
             return self._refusal_response(
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
@@ -223,11 +223,10 @@
             cut_response(request)
         except ConnectionError:
             raise
-        except Exception as error:
+        except Exception:
             # A refusal can't follow the beginning of a response.
             logger.exception("response failed", extra={"request": call.id})
-            cut_response(request)
-            raise ConnectionResetError("response ended early") from error
+            return cut_response(request)
         finally:
             await events.aclose()
         return response
--- a/tests/forward/test_broken_answers.py
+++ b/tests/forward/test_broken_answers.py
@@ -1,6 +1,7 @@
 """Answers that endpoints break off, with each framing, through an entry over HTTP."""
 
 import asyncio
+import logging
 
 import aiohttp
 import pytest
@@ -107,6 +108,24 @@
             await read_raw_answer(setup, "/write/x")
 
 
+# The HTTP library logged a traceback for each, at a rate that callers decide.
+async def test_a_stream_that_is_broken_off_leaves_no_traceback(caplog):
+    caplog.set_level(logging.INFO)
+    async with forwarding_setup() as setup:
+        answer = ScriptedAnswer(Framing.CHUNKS, (*WHOLE, CUT), interval_s=0.05)
+        with pytest.raises(aiohttp.ClientError):
+            await ask_for_stream(setup, answer)
+        with pytest.raises(ConnectionResetError):
+            await read_raw_answer(setup, "/write/x")
+    assert [record.message for record in caplog.records if record.exc_info] == []
+    cuts = [
+        record
+        for record in caplog.records
+        if record.message == "response to the caller cut"
+    ]
+    assert len(cuts) == 2
+
+
 async def test_a_stream_that_is_broken_off_is_counted_by_its_cause():
     async with forwarding_setup() as setup:
         answer = ScriptedAnswer(Framing.CONNECTION, (*WHOLE, CUT), interval_s=0.05)
