Log when a request is blocked, with the endpoints that ended, and count broken runs

Operators saw refusals with crashes_endpoints and not what led to them at that entry, where the crashes may all have been observed by others. Logs and a counter only.

--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -298,6 +298,7 @@
         parts = call.shared_parts if self._was_beginning(call, now) else ()
         run = BrokenRun(endpoint.incarnation, call.fingerprint, parts)
         self.crashes.record_run(run, now, now)
+        self.count("runs_broken_off")
         logger.info(
             "endpoint may have crashed under a request",
             extra={
--- a/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
@@ -127,6 +127,7 @@
         self._changed = True
         if sum(map(len, self._runs.values())) > MAX_RUNS:
             self._forget_oldest()
+        self._log_if_blocked(run.request, now)
         return True
 
     def record_answer(
@@ -287,6 +288,20 @@
                 extra={"parts": ",".join(sorted(parts))},
             )
 
+    def _log_if_blocked(self, request: str, now: float) -> None:
+        """Log that a request is blocked, with its last crash as the first to do so."""
+        times = self._crash_times(request)
+        if times and _count_together(times) == MAX_CRASHES:
+            endpoints = [known.run.endpoint for known in self.runs_of(request)]
+            logger.info(
+                "request blocked that crashes endpoints",
+                extra={
+                    "fingerprint": request,
+                    "endpoints": ",".join(endpoints),
+                    "last_crash_s_ago": round(now - times[-1], 3),
+                },
+            )
+
     def _crash_times(self, request: str) -> list[float]:
         """Return the times of the crashes that count, in order."""
         since = self._answered_at(request)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,5 +1,7 @@
 """Evidence of requests that crash endpoints, as one process keeps it."""
 
+import logging
+
 from hypothesis import given, settings, strategies as st
 
 from ebonyglade.quarantine.evidence import (
@@ -44,6 +46,14 @@
     assert not evidence.blocked_for("g", 2.0)
 
 
+def test_a_request_that_is_blocked_leaves_one_line_that_names_its_endpoints(caplog):
+    caplog.set_level(logging.INFO)
+    crashed(0.0, 1.0, 2.0, 3.0)
+    (record,) = caplog.records
+    assert record.message == "request blocked that crashes endpoints"
+    assert record.endpoints == "endpoint-2,endpoint-1,endpoint-0"
+
+
 def test_crashes_that_are_far_apart_do_not_count_together():
     assert not crashed(0.0, 1.0, 1.0 + SUSPICION_S).blocked_for("f", 130.0)
     assert crashed(0.0, 1.0).crashes("f", 1.0 + SUSPICION_S) == 0
