Report evidence of the own zone also if another zone told it first

With 300 entries in 11 zones a blamed part was unknown in one zone for 3 s, and without the repeats for 30 s. Cause, from a trace: an entry's heartbeat reached another zone, whose report came back to the reporters of its own zone before the heartbeat did; they kept it as evidence from elsewhere, which they do not report. The closest source counts now, with the time at which it was first heard from there. The new test failed before.

--- a/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
@@ -119,6 +119,8 @@
         known = runs.get(run.endpoint)
         if known is not None:
             known.at = min(known.at, at)
+            if source < known.source:
+                known.source, known.learned_at = source, now
             return False
         runs[run.endpoint] = KnownRun(run, at, now, source)
         self._broke_off_at[run.endpoint] = at
@@ -146,6 +148,8 @@
             return False
         known = self._answers.get(subject)
         if known is not None and at < known.at + MAX_DELAY_S:
+            if source < known.source:
+                known.source, known.learned_at = source, now
             return False
         if broke_off_at is None or broke_off_at > self._answered_at(subject):
             self._changed = True
--- a/tests/forward/test_crash_evidence_exchange.py
+++ b/tests/forward/test_crash_evidence_exchange.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from ebonyglade.quarantine.evidence import BrokenRun
+from ebonyglade.forward.evidence_exchange import EvidenceExchange
+from ebonyglade.quarantine.evidence import BrokenRun, CrashEvidence, Source
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
 from helpers.entries import Entry
@@ -88,6 +89,23 @@
     assert all(run(scenario()))
 
 
+# The zone's reporters heard it from another zone before they heard it from its observer,
+# and took it for known everywhere.
+def test_evidence_that_comes_back_from_another_zone_first_is_still_reported():
+    evidence = CrashEvidence()
+    exchange = EvidenceExchange(evidence, "reporter")
+    broken = BrokenRun("endpoint", "f")
+    evidence.record_run(broken, 0.0, 0.3, Source.ELSEWHERE)
+    assert exchange.compose(0.4, False, Source.ZONE) is None
+    evidence.record_run(broken, 0.0, 0.5, Source.ZONE)
+    records = exchange.compose(0.6, False, Source.ZONE)
+    assert [record.endpoint for record in records.runs] == ["endpoint"]
+    evidence.record_answer("f", 1.0, 1.3, Source.ELSEWHERE)
+    evidence.record_answer("f", 1.0, 1.5, Source.ZONE)
+    records = exchange.compose(1.6, False, Source.ZONE)
+    assert [record.subject for record in records.answers] == ["f"]
+
+
 def test_crashes_of_one_endpoint_that_several_entries_observe_count_once():
     async def scenario():
         _, entries = start_fleet(20, 2)
