--- a/tests/forward/test_crash_evidence_exchange.py
+++ b/tests/forward/test_crash_evidence_exchange.py
@@ -89,8 +89,8 @@
     assert all(run(scenario()))
 
 
-# The zone's reporters heard it from another zone before they heard it from its observer,
-# and took it for known everywhere.
+# The zone's reporters heard it from another zone before they heard it from the entry
+# that observed it, and took it for known everywhere.
 def test_evidence_that_comes_back_from_another_zone_first_is_still_reported():
     evidence = CrashEvidence()
     exchange = EvidenceExchange(evidence, "reporter")
