Do not refuse as not run a model request whose first attempt may have run

On a resumable route a first decode attempt that was lost may have run; if no memory was had for the second one the caller got 503 and 'not run'. Found by reading where a refusal while waiting may now come from. The refusal follows the verdict of all attempts, 502 here; the test got 503 before.

--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -59,7 +59,9 @@
                 break
             reserved = await self.reserver.reserve(call, excluded)
             if isinstance(reserved, Err):
-                return reserved
+                if call.verdict is Verdict.NOT_RUN:
+                    return reserved
+                break
             reply = await self._serve(call, reserved.ok_value)
             if isinstance(reply, Ok):
                 return reply
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -347,6 +347,18 @@
     assert "/handle/h1" in freed
 
 
+# The refusal of the second reservation said that the request had not run.
+def test_a_request_that_may_have_run_is_not_refused_as_not_run_for_want_of_memory():
+    reply, port, _, _ = generate(
+        [response(b"handle"), LOST],
+        {("e", "/hold"): (503, b"")},
+        RetryMode.IDEMPOTENT,
+    )
+    assert port.endpoint_ids == ["p", "d"]
+    assert reply.err_value.verdict is Verdict.MAY_HAVE_RUN
+    assert reply.err_value.status == 502
+
+
 def test_an_error_status_of_an_endpoint_is_passed_on():
     reply, _, _, _ = generate([response(b"handle"), response(b"no", status=500)])
     assert reply.ok_value.status == 500
