Keep the latest time of a break, and tell evidence from its exchange by name

A late report of an older break replaced the time of a newer one, by which a response proves that an endpoint lived on. 'evidence' was the exchange and 'crashes' the evidence.

--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -102,13 +102,15 @@
         self.replica_sync = ReplicaSync(context, self.replica)
         self.members = FleetMembers(context, seeds, self._compose_heartbeat, capacity)
         self.crashes = CrashEvidence()
-        self.evidence = EvidenceExchange(self.crashes, context.identity.instance)
+        self.evidence_exchange = EvidenceExchange(
+            self.crashes, context.identity.instance
+        )
         self.zones = ZoneExchange(
             context,
             self.members,
             False,
             self.replica_sync.leaving_records,
-            self.evidence,
+            self.evidence_exchange,
         )
         self._address = address
         self._report: EngineReport | None = None
@@ -225,8 +227,8 @@
             store=self.replica_sync.store_state(),
             leaving=self.replica_sync.leaving_records(),
             engine=self._engine_state(now),
-            evidence=self.evidence.compose(
-                now, complete and self.evidence.repeats_at(now)
+            evidence=self.evidence_exchange.compose(
+                now, complete and self.evidence_exchange.repeats_at(now)
             ),
             capacity=self.members.capacity,
             zoned=True,
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -89,7 +89,9 @@
         self.replica_sync = ReplicaSync(context, self.replica)
         self.rates = FleetRates(limits.rates, context.clock(), self._workspace)
         self.crashes = CrashEvidence()
-        self.evidence = EvidenceExchange(self.crashes, context.identity.instance)
+        self.evidence_exchange = EvidenceExchange(
+            self.crashes, context.identity.instance
+        )
         self.first_attempts = FirstAttempts()
         self.loads = EndpointLoads()
         self.buffers = BufferBudget(limits.bodies.buffered_bytes)
@@ -101,7 +103,7 @@
             self.members,
             True,
             self.replica_sync.leaving_records,
-            self.evidence,
+            self.evidence_exchange,
         )
         self.rate_exchange = RateExchange(context, self.members, self.rates, self.zones)
         self.attempts = AttemptSender(
@@ -357,8 +359,8 @@
             if complete
             else self.rates.spent_since(recent),
             partial=not complete,
-            evidence=self.evidence.compose(
-                now, complete and self.evidence.repeats_at(now)
+            evidence=self.evidence_exchange.compose(
+                now, complete and self.evidence_exchange.repeats_at(now)
             ),
             leaving=self.replica_sync.leaving_records(),
             capacity=self.members.capacity,
--- a/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
@@ -64,7 +64,7 @@
         members: the members of the fleet.
         entry: whether this process takes callers' requests.
         leaving: returns the endpoints that told this process that they leave.
-        evidence: exchanges evidence of requests that crash endpoints.
+        evidence_exchange: exchanges evidence of requests that crash endpoints.
         listeners: called with each new report of another zone.
     """
 
@@ -72,7 +72,7 @@
     members: FleetMembers
     entry: bool
     leaving: Callable[[], list[LeavingRecord]]
-    evidence: EvidenceExchange
+    evidence_exchange: EvidenceExchange
     listeners: list[ReportListener] = field(default_factory=list)
     _totals: ZoneTotals = field(default_factory=ZoneTotals)
     _told: dict[str, str] = field(default_factory=dict)
@@ -194,7 +194,9 @@
             engines=self._fresh_engines(now),
             leaving=self._leaving_records(),
             complete=complete,
-            evidence=self.evidence.compose(now, self._repeats_evidence(), Source.ZONE),
+            evidence=self.evidence_exchange.compose(
+                now, self._repeats_evidence(), Source.ZONE
+            ),
         )
 
     def _partial_report(self) -> ZoneReport:
@@ -234,7 +236,9 @@
         return list(records.values())
 
     def _on_evidence(self, sender: Sender, message: EvidenceNotice) -> None:
-        self.evidence.merge(message.evidence, self.context.clock(), Source.ZONE)
+        self.evidence_exchange.merge(
+            message.evidence, self.context.clock(), Source.ZONE
+        )
 
     def _tell_new_member(self, member: Member) -> None:
         """Send the evidence that blocks requests to a process that was just started."""
@@ -245,7 +249,7 @@
             del self._told[address]
         self._told[member.address] = member.incarnation
         now = self.context.clock()
-        records = self.evidence.compose(now, True, Source.ELSEWHERE)
+        records = self.evidence_exchange.compose(now, True, Source.ELSEWHERE)
         if records is not None:
             self.context.send(member.address, EvidenceNotice(records))
 
@@ -253,7 +257,7 @@
         self._tell_new_member(member)
         if heartbeat.evidence is not None:
             now = self.context.clock()
-            self.evidence.merge(heartbeat.evidence, now, Source.ZONE)
+            self.evidence_exchange.merge(heartbeat.evidence, now, Source.ZONE)
         if member.zone == self.members.zone and member.zoned:
             self._record(member.address, member.incarnation, heartbeat)
 
@@ -283,7 +287,7 @@
             self.members.introduce(address, report.zone)
         if self.members.divided:
             if report.evidence is not None:
-                self.evidence.merge(report.evidence, at, Source.ELSEWHERE)
+                self.evidence_exchange.merge(report.evidence, at, Source.ELSEWHERE)
             for listener in self.listeners:
                 listener(report, at)
         if report.partial and self._is_first_reporter(now):
--- a/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
@@ -127,9 +127,9 @@
                 known.source, known.learned_at = source, now
             return False
         runs[run.endpoint] = KnownRun(run, at, now, source)
-        self._broke_off_at[run.endpoint] = at
+        _keep_latest(self._broke_off_at, run.endpoint, at)
         for part in run.parts:
-            self._part_broke_off_at[part] = at
+            _keep_latest(self._part_broke_off_at, part, at)
         self._changed = True
         self._count += 1
         if self._count > MAX_RUNS:
@@ -197,7 +197,7 @@
             for blamed in self.blamed_parts(now)
             if blamed.parts.issubset(parts)
         ]
-        return max(0.0, *blocking) if blocking else 0.0
+        return max([0.0, *blocking])
 
     def blamed_parts(self, now: float) -> list[BlamedParts]:
         """Return the parts that crash endpoints."""
@@ -326,7 +326,7 @@
 
     def _record_alive(self, endpoint: str, until: float) -> None:
         known = self._alive_until.get(endpoint, float("-inf"))
-        self._alive_until[endpoint] = max(known, until)
+        _keep_latest(self._alive_until, endpoint, until)
         if known < self._broke_off_at.get(endpoint, float("-inf")) < until:
             self._changed = True
 
@@ -347,6 +347,10 @@
         self._changed = True
 
 
+def _keep_latest(times: dict[str, float], name: str, at: float) -> None:
+    times[name] = max(at, times.get(name, at))
+
+
 def _count_together(times: list[float]) -> int:
     """Return how many of the times, in order, lie close enough before the last."""
     return sum(times[-1] - at < SUSPICION_S for at in times)
