--- a/packages/ebonyglade/src/ebonyglade/forward/evidence_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/evidence_exchange.py
@@ -24,7 +24,7 @@
 # What blocks requests is repeated once in this time, by each process at another moment,
 # so that its messages stay small while something is blocked.
 REPEAT_S = 10.0
-REPEAT_WINDOW_S = COMPLETE_EVERY * HEARTBEAT_S  # holds one complete heartbeat
+REPEAT_WINDOW_S = COMPLETE_EVERY * HEARTBEAT_S  # holds about one complete heartbeat
 MAX_RECORDS = 64  # of a kind in one message, the newest
 PHASE_BYTES = 4
 REPEATED_PART_RUNS = 2 * CERTAIN_CRASHES  # of blamed parts
