Blame a part also where several requests with it end with one endpoint

Requests that waited while all endpoints were down begin together at the first one that is back, and end with it. A part was blamed only if it had at most 1.5 runs an endpoint, so that such a part was found late or not at all; found by playing requests that wait in the simulated traffic. More runs are allowed now where other runs began beside them, answered ones too; the runs weigh less in the ranking.

--- a/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/evidence.py
@@ -261,7 +261,11 @@
         runs.sort(key=lambda known: -known.at)
         return [
             SuspectRun(
-                known.run.endpoint, known.run.request, self._standing(known), known.at
+                known.run.endpoint,
+                known.run.request,
+                self._standing(known),
+                known.at,
+                bool(known.run.parts),
             )
             for known in runs[:MAX_SUSPECT_RUNS]
         ]
--- a/packages/ebonyglade/src/ebonyglade/quarantine/guilty_parts.py
+++ b/packages/ebonyglade/src/ebonyglade/quarantine/guilty_parts.py
@@ -28,10 +28,11 @@
 MIN_SHARE = 0.75
 MIN_SHARE_IF_CERTAIN = 0.5
 MIN_LEAD = 1.0  # over what other parts explain, in crashes
-EXTRA_RUN_COST = 0.5  # in crashes, for each run beyond one an endpoint
-# A part that crashes endpoints is in few of the runs that end with them. One that most
-# requests share is in many, and is blamed only if nothing else explains the crashes.
+EXTRA_RUN_COST = 0.1  # in crashes, for each run beyond one an endpoint
+# A part that is in nearly all runs of its crashes, and in several of each, is one that
+# most requests share, and the crashes would be the same without it.
 MAX_RUNS_PER_ENDPOINT = 1.5
+MAX_SHARE_OF_RUNS = 0.8
 # Parts are blocked for so long, and twice as long with each crash that follows: the
 # first request that is sent after that shows whether they still crash endpoints.
 BLOCKED_S = 60.0
@@ -50,12 +51,14 @@
         request: fingerprint of the request.
         parts: the parts of its prompt that are suspects, if any.
         at: when it ended.
+        beginning: whether its answer was not written for long.
     """
 
     endpoint: str
     request: str
     parts: frozenset[str]
     at: float
+    beginning: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +114,7 @@
     blamed = []
     while True:
         suspects = _suspects(remaining, crash_of)
-        guilty = _most_guilty(suspects, all_crashes)
+        guilty = _most_guilty(suspects, remaining, all_crashes)
         if guilty is None:
             return blamed
         last_at = max(guilty.crashes)
@@ -157,14 +160,14 @@
 
 
 def _most_guilty(
-    suspects: list[_Suspects], all_crashes: list[float]
+    suspects: list[_Suspects], runs: list[SuspectRun], all_crashes: list[float]
 ) -> _Suspects | None:
     """Return the suspects that explain the most, if that is clear enough."""
     likely = [
         item
         for item in suspects
         if item.support >= MIN_CRASHES
-        and len(item.runs) <= MAX_RUNS_PER_ENDPOINT * item.endpoints
+        and not _is_shared_by_most(item, runs)
         and _share(item, all_crashes) >= _min_share(item)
     ]
     if not likely:
@@ -177,6 +180,15 @@
     return best if lead >= MIN_LEAD else None
 
 
+def _is_shared_by_most(suspects: _Suspects, runs: list[SuspectRun]) -> bool:
+    """Return whether nearly all runs of the suspects' crashes have these parts."""
+    if len(suspects.runs) <= MAX_RUNS_PER_ENDPOINT * suspects.endpoints:
+        return False
+    ended = {run.endpoint for run in suspects.runs}
+    beginning = sum(run.endpoint in ended and run.beginning for run in runs)
+    return len(suspects.runs) > MAX_SHARE_OF_RUNS * beginning
+
+
 def _min_share(suspects: _Suspects) -> float:
     certain = suspects.support >= CERTAIN_CRASHES
     return MIN_SHARE_IF_CERTAIN if certain else MIN_SHARE
--- a/tests/test_guilty_parts.py
+++ b/tests/test_guilty_parts.py
@@ -25,12 +25,17 @@
         answered: when a request with each part was last answered whole.
     """
 
-    def __init__(self, seed, endpoints=3, bad_per_s=1.0, crashes_per_s=0.0):
+    def __init__(
+        self, seed, endpoints=3, bad_per_s=1.0, crashes_per_s=0.0, delay_s=0.0
+    ):
         self.rng = random.Random(seed)
         self.bad_per_s, self.crashes_per_s = bad_per_s, crashes_per_s
         self.now = 0.0
         self.running = {f"e{number}": [] for number in range(endpoints)}
+        self.delay_s = delay_s
         self.back_at = {}
+        self.crash_at = {}
+        self.waiting = []
         self.runs, self.answered = [], {}
         self.crashes, self.requests = 0, 0
 
@@ -43,6 +48,7 @@
                     part for part in run.parts if self.answered.get(part, -1.0) < run.at
                 ),
                 run.at,
+                bool(run.parts),
             )
             for run in self.runs
         ]
@@ -63,6 +69,14 @@
                 self._begin(["first", f"s{self._subject()}"])
             if self.rng.random() < self.bad_per_s * step:
                 self._begin(["first", "bad"])
+            waiting, self.waiting = self.waiting, []
+            for parts, give_up_at in waiting:
+                if self.now < give_up_at:
+                    self._begin(parts, give_up_at)
+            for endpoint in [
+                name for name, at in self.crash_at.items() if at <= self.now
+            ]:
+                self._crash(endpoint)
             for endpoint in list(self.running):
                 if self.rng.random() < self.crashes_per_s * step:
                     self._crash(endpoint)
@@ -72,11 +86,12 @@
     def _subject(self):
         return min(int(self.rng.expovariate(1 / 10)), SUBJECTS - 1)
 
-    def _begin(self, parts):
+    def _begin(self, parts, until=None):
         if any(blamed.issubset(parts) for blamed in self.blamed()):
             return
         up = [name for name in self.running if self.back_at.get(name, 0.0) <= self.now]
         if not up:
+            self.waiting.append((parts, self.now + 2.2 if until is None else until))
             return
         endpoint = self.rng.choice(up)
         self.requests += 1
@@ -84,7 +99,7 @@
         run = (self.requests, frozenset(parts), ends_at, self.now)
         self.running[endpoint].append(run)
         if "bad" in parts:
-            self._crash(endpoint)
+            self.crash_at.setdefault(endpoint, self.now + self.delay_s)
 
     def _end_runs(self):
         for runs in self.running.values():
@@ -94,6 +109,7 @@
 
     def _crash(self, endpoint):
         self.crashes += 1
+        self.crash_at.pop(endpoint, None)
         incarnation = f"{endpoint}@{self.crashes}"
         self.runs += [
             SuspectRun(
@@ -122,6 +138,32 @@
         assert not sound, seed
 
 
+# Requests that waited for an endpoint all begin at the first one that is back, and
+# several are in its first crash.
+@pytest.mark.parametrize(("endpoints", "bad_per_s"), [(3, 1.0), (9, 1.0), (9, 4.0)])
+def test_a_part_is_found_though_several_requests_with_it_end_with_one_endpoint(
+    endpoints, bad_per_s
+):
+    assert_found_in_time(endpoints, bad_per_s)
+
+
+@pytest.mark.known_red
+def test_a_part_is_found_though_very_many_requests_with_it_end_with_one_endpoint():
+    assert_found_in_time(3, 4.0)
+
+
+def assert_found_in_time(endpoints, bad_per_s):
+    """Require that the part is blamed within 3 s after the fifth crash, and then on."""
+    for seed in range(20):
+        traffic = Traffic(seed, endpoints, bad_per_s, delay_s=0.3)
+        since = None
+        for blamed in traffic.play(60.0):
+            if since is None and traffic.crashes >= 5:
+                since = traffic.now
+            assert since is None or blamed or traffic.now < since + 3.0, seed
+        assert any("bad" in parts for parts in traffic.blamed()), seed
+
+
 # Endpoints that crash for other reasons must not lead to refusals of sound requests.
 @pytest.mark.parametrize("crashes_per_s", [0.02, 0.05, 0.1])
 def test_chance_alone_blames_no_part(crashes_per_s):
