Log the limits that endpoints state, and count what is sent to limited ones (LIMIT)

Nothing is decided by it yet. With it the first two hypotheses of the postmortem can be told apart: whether an entry notices a limit, and how much each one sends after that.

--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/adapter.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/adapter.py
@@ -46,12 +46,14 @@
 
 def _read_answer(status: int, headers: dict) -> ResponseMetadata:
     retry_after = headers.get("retry-after")
+    limit = headers.get("limit")
     return ResponseMetadata(
         "",
         True,
         True,
         leaving="leaving" in headers,
         retry_after_s=None if retry_after is None else float(retry_after),
+        limit_per_s=None if limit is None else float(limit),
     )
 
 
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -18,6 +18,7 @@
     FailureKind,
     ForwardCall,
 )
+from ebonyglade.forward.endpoint_limits import EndpointLimits
 from ebonyglade.forward.endpoint_loads import EndpointLoads
 from ebonyglade.forward.retry_budget import FleetRetryBudget
 from ebonyglade.forward.store_replica import StoreReplica
@@ -58,6 +59,7 @@
         count_entries: returns the number of entries in the fleet.
         count: adds to a named counter.
         limits: limits of endpoints' answers.
+        endpoint_limits: limits that endpoints state.
     """
 
     adapter: Adapter
@@ -72,6 +74,7 @@
     count_entries: Callable[[], int]
     count: Callable[..., None]
     limits: BodyLimits = DEFAULT_LIMITS
+    endpoint_limits: EndpointLimits = field(default_factory=EndpointLimits)
     _background_tasks: set[asyncio.Task] = field(default_factory=set)
 
     def choose(
@@ -122,8 +125,12 @@
                 failure counts for its verdict.
         """
         self.count("sendings")
+        if self.endpoint_limits.limit(endpoint.incarnation) is not None:
+            self.count("sendings_limited")
         call.endpoints.append(endpoint.id)
+        sent_at = self.clock()
         sent = await self.port.send(call, endpoint, instructions, timeout_s)
+        self._record_no_limit(endpoint, sent, sent_at)
         self._record_outcome(call, endpoint, sent, runs_request)
         return sent
 
@@ -356,6 +363,8 @@
             self.loads.record_load(endpoint.id, metadata.load, now)
         if metadata.leaving:
             self.replica.mark_leaving(endpoint.id)
+        if metadata.limit_per_s is not None:
+            self._record_limit(endpoint, metadata.limit_per_s, now)
         if metadata.retry_after_s is not None:
             self.loads.back_off(endpoint.id, now + metadata.retry_after_s)
             logger.info(
@@ -363,6 +372,28 @@
                 extra={"endpoint": endpoint.id, "seconds": metadata.retry_after_s},
             )
 
+    def _record_limit(self, endpoint: Endpoint, per_s: float, now: float) -> None:
+        if self.endpoint_limits.record(endpoint.incarnation, per_s, now):
+            logger.info(
+                "endpoint stated a limit",
+                extra={"endpoint": endpoint.id, "limit_per_s": per_s},
+            )
+
+    def _record_no_limit(
+        self,
+        endpoint: Endpoint,
+        sent: Result[EndpointResponse, AttemptFailure],
+        sent_at: float,
+    ) -> None:
+        """Record that an endpoint answered a request without stating a limit."""
+        metadata = sent.ok_value.metadata if isinstance(sent, Ok) else None
+        if metadata is None or not metadata.signed or metadata.limit_per_s is not None:
+            return
+        if self.endpoint_limits.record_none(
+            endpoint.incarnation, sent_at, self.clock()
+        ):
+            logger.info("endpoint no longer limited", extra={"endpoint": endpoint.id})
+
     def _on_not_sent(self, call: ForwardCall, endpoint: Endpoint, now: float) -> None:
         self.loads.ejections.record_failure(endpoint.id, now)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -395,6 +395,9 @@
         self.crashes.forget(now)
         listed = self.replica.registry.endpoints
         self.loads.retain(listed)
+        self.attempts.endpoint_limits.retain(
+            {endpoint.incarnation for endpoint in listed.values()}
+        )
         self.generation_dispatcher.reserver.memory_estimates.retain(listed)
         self.agent_client.retain(set(listed))
 
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -256,6 +256,8 @@
         leaving: whether the endpoint states that it is about to leave.
         retry_after_s: seconds for which an endpoint that rejects a request wants no
             other one from this process; None if not stated.
+        limit_per_s: requests per second that the endpoint takes from all processes
+            together while it says so; None if it states no limit.
     """
 
     request_id: str
@@ -265,6 +267,7 @@
     encoded: bool = False
     leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forward/test_adapter.py
+++ b/tests/forward/test_adapter.py
@@ -182,6 +182,16 @@
     assert answer.retry_after_s == seconds
 
 
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [("3.5", 3.5), ("0", 0.0), ("few", None), ("-1", None), ("inf", None)],
+)
+def test_the_limit_that_an_endpoint_states_is_read_from_any_answer(value, limit):
+    answer = adapter.read_answer(503, {names.SERVER_LIMIT: value})
+    assert answer.limit_per_s == limit
+    assert adapter.read_answer(200, {}).limit_per_s is None
+
+
 def test_a_leaving_endpoint_is_recognized_in_any_answer():
     assert adapter.read_answer(200, {names.SERVER_LEAVING: "1"}).leaving
     assert not adapter.read_answer(200, {names.SERVER_LEAVING: "0"}).leaving
