--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -16,11 +16,13 @@
 WORKSPACE = Workspace("w", ("key",), rate=100_000.0, burst=200_000.0)
 BYTES_PER_MBIT = 125_000
 MAX_OUTDATED_S = 1.5
+PROMPT = prompt()
+MODEL_SHARES = (Share("model", 1.0),)
 FIRST_START_RATES = RateTolerance(first_start=True)
 
 
 class Entry:
-    """An entry on the simulated network; its configuration lists no endpoints."""
+    """An entry on the simulated network; by default the store lists no endpoints."""
 
     def __init__(
         self,
@@ -30,6 +32,9 @@
         zone="z",
         incarnation="1",
         link_mbps=0.0,
+        port=None,
+        shares=MODEL_SHARES,
+        documents=(),
     ):
         self.process = Process(name, incarnation)
         context = member_context(self.process, network, zone)
@@ -42,13 +47,12 @@
         )
         if link_mbps:
             network.set_link_rate(name, link_mbps * BYTES_PER_MBIT)
-        self.core = ForwardEntry(context, plain_adapter, None, limits, ("e0",))
+        self.core = ForwardEntry(context, plain_adapter, port, limits, ("e0",))
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
         self.core.start()
-        shares = (Share("model", 1.0),)
         routes = [route(RetryMode.STREAM, shares=shares, target_s=1.0, timeout_s=14.0)]
         published = configuration(1, 2, routes=routes, workspaces=(WORKSPACE,))
-        self.core.replica.apply([published], at(50))
+        self.core.replica.apply([published, *documents], at(50))
         self.core.replica.confirm_current_at(context.clock())
         self.process.spawn(self._run())
 
@@ -61,8 +65,11 @@
             self.core.context.timers.run_due(self.core.context.clock())
             await asyncio.sleep(0.05)
 
-    def call(self, request_id, deadline_s, body=b"one"):
-        metadata = RequestMetadata(request_id, deadline_s, "key", prompt())
+    def plain_call(self, request_id, deadline_s=2.0):
+        return self.call(request_id, deadline_s, request_id.encode(), None)
+
+    def call(self, request_id, deadline_s, body=b"one", asked=PROMPT):
+        metadata = RequestMetadata(request_id, deadline_s, "key", asked)
         now = self.core.context.clock()
         return ForwardCall(metadata, "POST", "/a/b", "h.example", [], body, now)
 
--- a/tests/helpers/forwarding_path.py
+++ b/tests/helpers/forwarding_path.py
@@ -70,23 +70,39 @@
             while not check():
                 await asyncio.sleep(0.02)
 
+    async def until_complete(self, entries):
+        """Wait until the entry knows all endpoints and the other entries."""
+        core = self.entry.entry
+        await self.until(
+            lambda: (
+                len(core.members.all()) == entries - 1
+                and len(core.replica.registry.endpoints) == len(self.workers)
+            )
+        )
+
+
+async def start_platform(stack):
+    """Start a store and endpoints that it lists."""
+    store = PlatformStore()
+    workers = {
+        "plain-1": PlatformWorker("plain-1"),
+        "plain-2": PlatformWorker("plain-2"),
+        "prefill": PlatformWorker("prefill", "prefill"),
+        "decode": PlatformWorker("decode", "decode"),
+    }
+    for service in (store, *workers.values()):
+        await stack.enter_async_context(service)
+    await store.put("op/config", config(1, ROUTES))
+    for name, worker in workers.items():
+        service = name.partition("-")[0] if worker.stage is None else "model"
+        await store.put(f"servers/{name}", worker.registration(service))
+    return store, workers
+
 
 @asynccontextmanager
 async def forwarding_setup(revoke_ms=5000):
     async with AsyncExitStack() as stack:
-        store = PlatformStore()
-        workers = {
-            "plain-1": PlatformWorker("plain-1"),
-            "plain-2": PlatformWorker("plain-2"),
-            "prefill": PlatformWorker("prefill", "prefill"),
-            "decode": PlatformWorker("decode", "decode"),
-        }
-        for service in (store, *workers.values()):
-            await stack.enter_async_context(service)
-        await store.put("op/config", config(1, ROUTES))
-        for name, worker in workers.items():
-            service = name.partition("-")[0] if worker.stage is None else "model"
-            await store.put(f"servers/{name}", worker.registration(service))
+        store, workers = await start_platform(stack)
         callers, ready = free_port(), free_port()
         listen = {
             "callers": f"127.0.0.1:{callers}",
@@ -107,6 +123,39 @@
         yield setup
 
 
+@asynccontextmanager
+async def forwarding_fleet(count):
+    """Start entries of one fleet; yield one `ForwardingSetup` for each."""
+    async with AsyncExitStack() as stack:
+        store, workers = await start_platform(stack)
+        port, callers, ready = free_port(), free_port(), free_port()
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        setups = []
+        for number in range(1, count + 1):
+            ip = f"127.0.0.{number}"
+            instance = {
+                "name": f"n{number}",
+                "address": f"tcp://{ip}:{port}",
+                "zone": "z1",
+            }
+            listen = {"callers": f"{ip}:{callers}", "ready": f"{ip}:{ready}"}
+            entry = ForwardingEntry(
+                settings(
+                    ForwardSettings,
+                    store,
+                    instance=instance,
+                    listen=listen,
+                    seeds=[f"127.0.0.1:{ready}"],
+                )
+            )
+            await stack.enter_async_context(entry)
+            base = f"http://{ip}:{callers}"
+            setups.append(ForwardingSetup(store, workers, entry, session, base))
+        for setup in setups:
+            await setup.until_complete(count)
+        yield setups
+
+
 def received(setup):
     return [request for worker in setup.workers.values() for request in worker.received]
 
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -171,6 +171,7 @@
         failure: "not executed", "reset" or "silent": how requests fail; None if not.
         retry_after: seconds that a rejection states; None for none.
         leaving: whether all responses say that the worker leaves.
+        limit_per_s: limit that all responses state; None for none.
         events: events in each stream.
         event_interval_s: seconds after each event.
         abort_after_events: events after which the connection is aborted; None if
@@ -192,6 +193,7 @@
         self.failure = None
         self.retry_after = None
         self.leaving = False
+        self.limit_per_s = None
         self.app.on_response_prepare.append(self._add_state)
         self.events = 3
         self.event_interval_s = 0.0
@@ -226,6 +228,8 @@
     async def _add_state(self, request, response):
         if self.leaving:
             response.headers["Server-Leaving"] = "1"
+        if self.limit_per_s is not None:
+            response.headers["Server-Limit"] = str(self.limit_per_s)
         if response.status == 503 and self.retry_after is not None:
             response.headers["Retry-After"] = str(self.retry_after)
 
