--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -24,7 +24,7 @@
 )
 from ebonyglade.forward.prefiller import Prefiller, PrefillSource
 from ebonyglade.forward.reserver import MemoryReservation, Reserver
-from ebonyglade.forward.streams import EventReader, StreamStats
+from ebonyglade.forward.streams import EventReader, StreamStats, log_resumed
 from ebonyglade.verdict import Verdict, combine_verdicts
 
 # Limit for the response headers, and again from them to the first event.
@@ -184,6 +184,8 @@
             raise
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
         call.writing_since = attempts.clock()
+        if call.metadata.last_event_id:
+            log_resumed(call, reservation.endpoint)
         chunks = self._stream_events(call, reservation, events, first)
         return Ok(StreamedResponse(response.status, headers, chunks))
 
@@ -213,7 +215,7 @@
             events.response.close()
             call.buffers.release()
             self._finish(call, reservation)
-            stats.log(call, reservation.endpoint.id, events)
+            stats.log(call, reservation.endpoint, events)
 
     async def _next_events(self, call: ForwardCall, events: EventReader) -> bytes:
         """Return the next events; empty at the end of a complete stream.
--- a/packages/ebonyglade/src/ebonyglade/forward/streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/streams.py
@@ -7,6 +7,7 @@
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import EndpointResponse, ForwardCall
 from ebonyglade.forward.events import EventSplitter
+from ebonyglade.forward.types import Endpoint
 
 logger = logging.getLogger(__name__)
 
@@ -83,13 +84,14 @@
         self.last_at = now
         self.batches += 1
 
-    def log(self, call: ForwardCall, endpoint: str, events: EventReader) -> None:
+    def log(self, call: ForwardCall, endpoint: Endpoint, events: EventReader) -> None:
         """Log the statistics, and how the stream ended."""
         logger.info(
             "stream ended",
             extra={
                 "request": call.id,
-                "endpoint": endpoint,
+                "endpoint": endpoint.id,
+                "software": endpoint.software,
                 "first_after": round(self.started_at - call.arrived_at, 3),
                 "seconds": round(self.last_at - self.started_at, 3),
                 "longest_gap": round(self.longest_gap, 3),
@@ -101,3 +103,17 @@
                 "unfinished_bytes": events.unfinished_bytes,
             },
         )
+
+
+def log_resumed(call: ForwardCall, endpoint: Endpoint) -> None:
+    """Log that a stream that another attempt began goes on."""
+    logger.info(
+        "stream taken up",
+        extra={
+            "request": call.id,
+            "resumes": call.metadata.resumes,
+            "after_event": call.metadata.last_event_id,
+            "endpoint": endpoint.id,
+            "software": endpoint.software,
+        },
+    )
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -166,6 +166,7 @@
         slots: concurrent requests.
         stage: its stage; set for model endpoints only.
         born_ms: Unix milliseconds of its start, as it reports itself.
+        software: version of the software that it runs; "" if not stated.
     """
 
     id: str
@@ -176,6 +177,7 @@
     slots: int
     stage: Stage | None = None
     born_ms: int = 0
+    software: str = ""
 
     @property
     def incarnation(self) -> str:
@@ -225,6 +227,8 @@
         key: the caller's key; "" if there is none.
         prompt: sizes of the prompt; set for model requests only.
         last_event_id: event after which to resume a stream; "" for its start.
+        resumes: the caller's id of the attempt that brought the first event of the
+            stream to resume; "" if there is none.
     """
 
     request_id: str
@@ -232,6 +236,7 @@
     key: str
     prompt: PromptSize | None
     last_event_id: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forward/test_adapter.py
+++ b/tests/forward/test_adapter.py
@@ -247,3 +247,9 @@
     adapter_lines = sum(len(path.read_text().splitlines()) for path in ADAPTER)
     lines = sum(len(path.read_text().splitlines()) for path in PRODUCT)
     assert adapter_lines < lines / 10
+
+
+def test_a_request_names_the_attempt_that_began_its_stream():
+    headers = {names.LAST_EVENT_ID: "7", names.RESUMES: "id-1"}
+    metadata = adapter.read_request(headers)
+    assert (metadata.last_event_id, metadata.resumes) == ("7", "id-1")
