--- a/tests/helpers/forwarding_path.py
+++ b/tests/helpers/forwarding_path.py
@@ -16,6 +16,7 @@
     route("/read/", "plain"),
     route("/book/", "plain", "non_idempotent", MaxAttempts=1),
     route("/write/", "model", "streaming", TimeoutMs=4000),
+    route("/resume/", "model", "streaming", TimeoutMs=4000, Resumable=True),
     route("/open/", "plain", Public=True),
     route("/slow/", "plain", TimeoutMs=300),
 ]
@@ -81,15 +82,21 @@
         )
 
 
-async def start_platform(stack):
-    """Start a store and endpoints that it lists."""
+async def start_platform(stack, decode_versions=("v1",)):
+    """Start a store and endpoints that it lists.
+
+    `decode_versions` has the software version of each decode endpoint.
+    """
     store = PlatformStore()
     workers = {
         "plain-1": PlatformWorker("plain-1"),
         "plain-2": PlatformWorker("plain-2"),
         "prefill": PlatformWorker("prefill", "prefill"),
-        "decode": PlatformWorker("decode", "decode"),
     }
+    for number, version in enumerate(decode_versions):
+        name = f"decode-{number}" if number else "decode"
+        workers[name] = PlatformWorker(name, "decode")
+        workers[name].version = version
     for service in (store, *workers.values()):
         await stack.enter_async_context(service)
     await store.put("op/config", config(1, ROUTES))
@@ -124,10 +131,10 @@
 
 
 @asynccontextmanager
-async def forwarding_fleet(count):
+async def forwarding_fleet(count, decode_versions=("v1",)):
     """Start entries of one fleet; yield one `ForwardingSetup` for each."""
     async with AsyncExitStack() as stack:
-        store, workers = await start_platform(stack)
+        store, workers = await start_platform(stack, decode_versions)
         port, callers, ready = free_port(), free_port(), free_port()
         session = await stack.enter_async_context(aiohttp.ClientSession())
         setups = []
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -24,6 +24,7 @@
         between_pages: called once between two pages of a range read.
         bytes_per_s: rate at which responses leave; None for no limit.
         stalls: whether responses stop half way.
+        abort_ids: requests whose streams are aborted after an event.
         answer: answer to all reads; None for the usual ones.
     """
 
@@ -172,6 +173,7 @@
         retry_after: seconds that a rejection states; None for none.
         leaving: whether all responses say that the worker leaves.
         limit_per_s: limit that all responses state; None for none.
+        version: version of its software.
         events: events in each stream.
         event_interval_s: seconds after each event.
         abort_after_events: events after which the connection is aborted; None if
@@ -194,10 +196,12 @@
         self.retry_after = None
         self.leaving = False
         self.limit_per_s = None
+        self.version = "v1"
         self.app.on_response_prepare.append(self._add_state)
         self.events = 3
         self.event_interval_s = 0.0
         self.abort_after_events = None
+        self.abort_ids = set()
         self.answer = None
         self.prefill_answer = None
         self._ids = count(1)
@@ -214,7 +218,7 @@
             "Service": service,
             "Address": f"127.0.0.1:{self.port}",
             "Zone": "z1",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self.slots,
             "State": "ready",
             "ColdLeftMs": 0,
@@ -319,8 +323,11 @@
             }
         )
         await response.prepare(request)
+        abort_after = self.abort_after_events
+        if request.headers["X-Request-Id"] in self.abort_ids:
+            abort_after = 1
         for number in range(1, self.events + 1):
-            if self.abort_after_events is not None and number > self.abort_after_events:
+            if abort_after is not None and number > abort_after:
                 await response.write(b"id: 9\ndata: ha")
                 request.transport.abort()
                 return response
