Take streams up only at the software version that began them (ORDER)

Callers saw: while two versions of an endpoint's software served, a stream that they took up went on at the other version, so that what they held did not fit together.

Cause: versions were not decoded, and what an entry knew of a stream ended with it.

Now a few members, chosen by the stream's key, are told of each stream before its first event is passed on; an entry that does not know it asks them and chooses only among endpoints of that version, or refuses with software_gone or stream_unknown.

--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -15,6 +15,7 @@
 from ebonyglade.forward.limit_exchange import LimitExchange
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.memory_admission import MemoryAdmission, PrefillLease, Rank
+from ebonyglade.forward.origin_exchange import OriginExchange
 from ebonyglade.forward.replica_sync import ReplicaSync
 from ebonyglade.forward.stage_planning import (
     TO_DECODE_DELAY_S,
@@ -123,6 +124,7 @@
             EndpointLimits(),
             self._listed_endpoints,
         )
+        self.origin_exchange = OriginExchange(context, self.members)
         self._address = address
         self._report: EngineReport | None = None
         self._reported_at = 0.0
@@ -136,6 +138,7 @@
         """Register handlers and join the fleet."""
         self.replica_sync.start()
         self.limit_exchange.start()
+        self.origin_exchange.start()
         self.members.heartbeat_listeners += [
             self.replica_sync.on_heartbeat,
             self._on_heartbeat,
@@ -149,6 +152,7 @@
         self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
         self.context.every(FORGET_INTERVAL_S, self.crashes.forget)
         self.context.every(FORGET_INTERVAL_S, self.limit_exchange.forget)
+        self.context.every(FORGET_INTERVAL_S, self.origin_exchange.forget)
         self.context.handle(
             {
                 TokensAdmitted: self._on_tokens_admitted,
@@ -253,6 +257,7 @@
             zoned=True,
             limits=self._limit_records() if complete else [],
             permits=True,
+            origins=True,
         )
         self.zones.record_own(heartbeat)
         return heartbeat
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -89,11 +89,19 @@
     permits: AcquirePermit = _grant_always
     _background_tasks: set[asyncio.Task] = field(default_factory=set)
 
+    def accepting(
+        self, call: ForwardCall, stage: Stage | None = None
+    ) -> list[Endpoint]:
+        """Return the listed endpoints that may run a request."""
+        # Prompts are prefilled at any version; only events must be of one version.
+        software = None if stage is Stage.PREFILL else call.software
+        return self.replica.registry.accepting(call.service.name, stage, software)
+
     def choose(
         self, call: ForwardCall, excluded: set[str], stage: Stage | None = None
     ) -> Endpoint | None:
         """Return the endpoint to try next; None if there is none."""
-        listed = self.replica.registry.accepting(call.service.name, stage)
+        listed = self.accepting(call, stage)
         return self.loads.choose(listed, excluded, self.zone, self.clock(), self.rng)
 
     async def acquire(
@@ -136,7 +144,7 @@
 
         The result is zero if one takes them now, or if there is none.
         """
-        listed = self.replica.registry.accepting(call.service.name, stage)
+        listed = self.accepting(call, stage)
         return self.loads.backoff_left([item.id for item in listed], self.clock())
 
     def remaining_s(self, call: ForwardCall) -> float:
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -41,6 +41,7 @@
         route: route that serves it.
         service: service that was picked among the route's shares.
         workspace: workspace that the request belongs to; None on open routes.
+        software: version of their software that endpoints must run; None for any.
         deadline: when the caller or the route gives up.
         cost: charged to the workspace's rate limit, in its unit: tokens or requests.
         fingerprint: hash that all retries of the request share.
@@ -64,6 +65,7 @@
     route: Route | None = None
     service: Service | None = None
     workspace: Workspace | None = None
+    software: str | None = None
     deadline: float = 0.0
     cost: float = 0.0
     fingerprint: str = ""
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
@@ -25,6 +25,7 @@
 from ebonyglade.forward.prefiller import Prefiller, PrefillSource
 from ebonyglade.forward.reserver import MemoryReservation, Reserver
 from ebonyglade.forward.streams import EventReader, StreamStats, log_resumed
+from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Verdict, combine_verdicts
 
 # Limit for the response headers, and again from them to the first event.
@@ -36,10 +37,19 @@
 
 @dataclass(slots=True)
 class GenerationDispatcher:
-    """Dispatches requests of model services to prefill and decode endpoints."""
+    """Dispatches requests of model services to prefill and decode endpoints.
+
+    Attributes:
+        attempts: sends attempts to endpoints.
+        agent_client: asks the agents beside endpoints.
+        on_begun: called before the first event of a stream is passed on.
+        reserver: reserves memory at decode endpoints.
+        prefiller: has prompts prefilled.
+    """
 
     attempts: AttemptSender
     agent_client: AgentClient
+    on_begun: Callable[[ForwardCall, Endpoint], None] = lambda call, endpoint: None
     reserver: Reserver = field(init=False)
     prefiller: Prefiller = field(init=False)
 
@@ -184,6 +194,7 @@
             raise
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
         call.writing_since = attempts.clock()
+        self.on_begun(call, reservation.endpoint)
         if call.metadata.last_event_id:
             log_resumed(call, reservation.endpoint)
         chunks = self._stream_events(call, reservation, events, first)
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -60,6 +60,7 @@
         capacity: rate of its network link in Mbit/s; 0 if not known.
         zoned: whether it needs no heartbeats of other zones in a large fleet.
         permits: whether it can grant permits for endpoints that state a limit.
+        origins: whether it keeps which software version began a stream.
         known_since: when its address became known.
         last_heard: time of its last heartbeat; negative infinity if none.
         last_mentioned: when it or another member last mentioned its address.
@@ -77,6 +78,7 @@
     capacity: float = 0.0
     zoned: bool = False
     permits: bool = False
+    origins: bool = False
     known_since: float = 0.0
     last_heard: float = float("-inf")
     last_mentioned: float = 0.0
@@ -417,7 +419,7 @@
         member.echo = heartbeat.sent_at
         member.entry, member.zone = heartbeat.entry, heartbeat.zone
         member.capacity, member.zoned = heartbeat.capacity, heartbeat.zoned
-        member.permits = heartbeat.permits
+        member.permits, member.origins = heartbeat.permits, heartbeat.origins
         read_age_s = heartbeat.store.read_age_s
         member.read_age_s = read_age_s if read_age_s >= 0 else float("inf")
         self._add_listed(heartbeat.members, now)
--- a/packages/ebonyglade/src/ebonyglade/forward/reserver.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/reserver.py
@@ -78,6 +78,10 @@
         self, call: ForwardCall, excluded: set[str]
     ) -> Result[MemoryReservation, Refusal]:
         """Wait in the queue until memory at a decode endpoint is reserved."""
+        if call.software is not None and not self.attempts.accepting(
+            call, Stage.DECODE
+        ):
+            return Err(refuse("software_gone"))
         available_in = self._decode_available_in(call.service)
         if available_in > MAX_MEMORY_WAIT_S:
             self._log_no_decode(call, available_in)
@@ -115,7 +119,7 @@
 
     def _refuse_after_wait(self, call: ForwardCall) -> Refusal:
         attempts = self.attempts
-        listed = attempts.replica.registry.accepting(call.service.name, Stage.DECODE)
+        listed = attempts.accepting(call, Stage.DECODE)
         now = attempts.clock()
         logger.info(
             "no memory reserved in time",
@@ -204,7 +208,7 @@
         backoff_left = attempts.backoff_left(call, Stage.DECODE)
         if now + backoff_left > give_up_at:
             raise _RefusedWhileWaiting(refuse("overloaded", retry_after=backoff_left))
-        listed = attempts.replica.registry.accepting(call.service.name, Stage.DECODE)
+        listed = attempts.accepting(call, Stage.DECODE)
         ejected = attempts.loads.ejections.active(now)
         usable = [
             item
--- a/packages/ebonyglade/src/ebonyglade/forward/types.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/types.py
@@ -426,12 +426,21 @@
 
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
 
-    def accepting(self, service: str, stage: Stage | None = None) -> list[Endpoint]:
-        """Return the endpoints of a service that accept new requests."""
+    def accepting(
+        self, service: str, stage: Stage | None = None, software: str | None = None
+    ) -> list[Endpoint]:
+        """Return the endpoints of a service that accept new requests.
+
+        Args:
+            service: name of the service.
+            stage: their stage; None for any.
+            software: version of their software; None for any.
+        """
         return [
             item
             for item in self.endpoints.values()
             if item.service == service
             and not item.leaving
             and (stage is None or item.stage is stage)
+            and (software is None or item.software == software)
         ]
--- a/packages/ebonyglade/src/ebonyglade/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -95,6 +95,18 @@
         _row("rate_impossible", 400, "The request costs more than the burst."),
         _row("overloaded", 503, "All endpoints are full.", 1.0),
         _row("no_endpoint", 503, "No endpoint serves this route now.", 2.0),
+        _row(
+            "stream_unknown",
+            503,
+            "It is not known which software version began this stream.",
+            1.0,
+        ),
+        _row(
+            "software_gone",
+            503,
+            "No endpoint runs the software version that began this stream.",
+            2.0,
+        ),
         _row("endpoint_down", 503, "The endpoint could not be reached.", 1.0),
         _row("endpoint_failed", 502, "The endpoint failed.", None, _MAYBE),
         _row("resume_unsupported", 502, "The engine can't resume an answer."),
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -4,6 +4,8 @@
 is known by its address only.
 """
 
+from enum import Enum
+
 import msgspec
 
 from ebonyglade.wire.base import Message
@@ -157,6 +159,7 @@
             it needs no heartbeats from members of other zones.
         limits: limits of the endpoints whose permits the sender grants.
         permits: whether the sender can grant permits, see `PermitRequest`.
+        origins: whether the sender keeps streams, see `StreamBegun`.
     """
 
     sent_at: float
@@ -174,6 +177,7 @@
     zoned: bool = False
     limits: list[LimitRecord] = []
     permits: bool = False
+    origins: bool = False
 
 
 class EngineRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -340,6 +344,54 @@
     wait_s: float = 0.0
 
 
+class StreamBegun(Message):
+    """An endpoint wrote the first event of a stream that may be taken up.
+
+    Attributes:
+        stream: key of the stream, see `stream_key`.
+        software: version of the endpoint's software.
+    """
+
+    stream: str
+    software: str
+
+
+class QueryScope(Enum):
+    """Who is asked by a query, and who answers it."""
+
+    MEMBER = "member"  # the receiver, which answers in any case
+    ZONE = "zone"  # the receiver's zone; it passes the query on if it does not know
+    RELAYED = "relayed"  # the receiver, which answers only if it knows
+
+
+class OriginQuery(Message):
+    """Asks which software version began a stream.
+
+    Attributes:
+        ask: id of the search, which answers repeat.
+        stream: key of the stream.
+        asker: address of the process that asks.
+        scope: who is asked.
+    """
+
+    ask: str
+    stream: str
+    asker: str
+    scope: QueryScope = QueryScope.MEMBER
+
+
+class OriginAnswer(Message):
+    """Answer to an `OriginQuery`.
+
+    Attributes:
+        ask: id of the search.
+        software: version that began the stream; None if the sender does not know.
+    """
+
+    ask: str
+    software: str | None = None
+
+
 class MemoryRequest(Message, tag="RoomAsk"):
     """Asks the agent beside a model endpoint to reserve capacity for one request.
 
@@ -418,6 +470,9 @@
     LimitNotice,
     PermitRequest,
     PermitResponse,
+    StreamBegun,
+    OriginQuery,
+    OriginAnswer,
     MemoryRequest,
     GrantResponse,
     MemoryRelease,
--- /dev/null
+++ b/tests/forward/test_stream_origins.py
@@ -0,0 +1,148 @@
+"""Which software version began a stream, in fleets on the simulated network."""
+
+import asyncio
+import random
+
+import pytest
+
+from ebonyglade.forward.stream_origins import (
+    KEEP_S,
+    MAX_STREAMS,
+    ListedSoftware,
+    StreamOrigins,
+    stream_key,
+)
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.network import Network
+from helpers.entries import Entry
+from helpers.forwarding import decode
+
+JOIN_S = 3.0
+STREAMS = 40
+FLEETS = [(1, 1), (5, 4), (30, 3), (76, 6)]
+
+
+def test_the_first_event_decides_the_version():
+    origins = StreamOrigins()
+    origins.record("s", "v1", 0.0)
+    origins.record("s", "v2", 1.0)
+    assert origins.software("s") == "v1"
+    assert origins.software("t") is None
+
+
+def test_streams_are_forgotten_after_a_time_and_beyond_a_number():
+    origins = StreamOrigins()
+    origins.record("old", "v1", 0.0)
+    origins.record("new", "v1", KEEP_S)
+    origins.forget(KEEP_S + 1.0)
+    assert origins.software("old") is None
+    assert origins.software("new") == "v1"
+    for number in range(MAX_STREAMS):
+        origins.record(f"s{number}", "v1", KEEP_S)
+    assert origins.software("new") is None
+
+
+def test_streams_of_two_workspaces_have_different_keys():
+    assert stream_key("a", "id-1") != stream_key("b", "id-1")
+    assert stream_key("a", "bc") != stream_key("ab", "c")
+
+
+def test_a_service_has_one_version_only_if_no_other_was_listed_lately():
+    listed = ListedSoftware(started_at=0.0)
+    listed.record([decode("a", software="v1")], 0.0)
+    assert listed.only_version("model") == "v1"
+    listed.record([decode("b", software="v2")], 1.0)
+    assert listed.only_version("model") is None
+    listed.record([decode("b", software="v2")], KEEP_S + 0.5)
+    assert listed.only_version("model") == "v2"
+    assert listed.only_version("desk") is None
+
+
+def start_fleet(count, zones, lose=0.0):
+    network = Network(random.Random(1))
+    network.faults.lose = lose
+    entries = [Entry(network, f"e{n}", zone=f"z{n % zones}") for n in range(count)]
+    return network, entries
+
+
+def begin_streams(entries):
+    for number in range(STREAMS):
+        entry = entries[number % len(entries)]
+        entry.core.origin_exchange.announce(f"s{number}", f"v{number % 2}")
+
+
+async def known_at(entry):
+    """Return how many streams an entry finds, all with their version."""
+    found = 0
+    for number in range(STREAMS):
+        software = await entry.core.origin_exchange.find(f"s{number}")
+        assert software in (None, f"v{number % 2}")
+        found += software is not None
+    return found
+
+
+@pytest.mark.parametrize(("count", "zones"), FLEETS)
+def test_every_entry_finds_the_streams_that_any_entry_began(count, zones):
+    async def scenario():
+        _, entries = start_fleet(count, zones)
+        await asyncio.sleep(JOIN_S)
+        begin_streams(entries)
+        await asyncio.sleep(0.1)
+        return [await known_at(entry) for entry in entries[:8]]
+
+    assert set(run(scenario())) == {STREAMS}
+
+
+def test_streams_are_found_when_the_entry_that_began_them_ends_at_once():
+    async def scenario():
+        _, entries = start_fleet(5, 4)
+        await asyncio.sleep(JOIN_S)
+        begin_streams(entries[:1])
+        await asyncio.sleep(0.01)
+        entries[0].process.kill()
+        return [await known_at(entry) for entry in entries[1:]]
+
+    assert set(run(scenario())) == {STREAMS}
+
+
+# One of the members that were told may end as well.
+def test_streams_are_found_when_a_third_of_a_fleet_ends():
+    async def scenario():
+        _, entries = start_fleet(9, 3)
+        await asyncio.sleep(JOIN_S)
+        begin_streams(entries)
+        await asyncio.sleep(0.01)
+        for entry in entries[:3]:
+            entry.process.kill()
+        return [await known_at(entry) for entry in entries[3:]]
+
+    assert set(run(scenario())) == {STREAMS}
+
+
+def test_most_streams_are_found_while_messages_are_lost():
+    async def scenario():
+        _, entries = start_fleet(9, 3, lose=0.1)
+        await asyncio.sleep(JOIN_S)
+        begin_streams(entries)
+        await asyncio.sleep(0.1)
+        return [await known_at(entry) for entry in entries]
+
+    assert min(run(scenario())) >= 0.9 * STREAMS
+
+
+def test_an_entry_that_is_cut_off_does_not_guess():
+    async def scenario():
+        network, entries = start_fleet(5, 4)
+        await asyncio.sleep(JOIN_S)
+        for other in entries[1:]:
+            names = {entries[0].process.instance, other.process.instance}
+            network.faults.partitioned.add(frozenset(names))
+        begin_streams(entries[1:])
+        await asyncio.sleep(0.1)
+        started = entries[0].now
+        found = await entries[0].core.origin_exchange.find("s0")
+        return found, entries[0].now - started
+
+    found, seconds = run(scenario())
+    assert found is None
+    assert seconds < 0.2
--- a/tests/forward/test_streams_of_two_versions.py
+++ b/tests/forward/test_streams_of_two_versions.py
@@ -15,7 +15,6 @@
 
 
 # What an entry knew of a stream ended with it, and no endpoint had a version.
-@pytest.mark.known_red
 @pytest.mark.parametrize("wait_s", [0.0, 0.5])
 @pytest.mark.parametrize("other_entry", [False, True])
 async def test_a_stream_goes_on_at_the_version_that_began_it(wait_s, other_entry):
@@ -65,3 +64,41 @@
     ]
     assert len(writers) == 1
     return writers[0]
+
+
+RESUMED = {**MODEL, "Last-Event-Id": "1", "Resumes": "unheard-of"}
+
+
+async def test_a_stream_that_nobody_knows_is_refused_while_two_versions_serve():
+    async with forwarding_fleet(2, TWO_VERSIONS) as setups:
+        answer = await setups[0].ask("/resume/x", "POST", **RESUMED)
+        assert is_refused_with(answer, "stream_unknown")
+
+
+async def test_a_stream_whose_version_is_gone_is_refused_at_once():
+    async with forwarding_fleet(2, ("v1", "v2")) as setups:
+        begun = await stream(setups[0], "first", cut=True)
+        name = "decode" if begun == "v1" else "decode-1"
+        await setups[0].store.remove(f"servers/{name}")
+        for setup in setups:
+            listed = setup.entry.entry.replica.registry.endpoints
+            await setup.until(lambda listed=listed: name not in listed)
+        started = asyncio.get_running_loop().time()
+        headers = {**RESUMED, "Resumes": "first"}
+        answer = await setups[1].ask("/resume/x", "POST", **headers)
+        assert is_refused_with(answer, "software_gone")
+        assert asyncio.get_running_loop().time() - started < 0.5
+
+
+async def test_a_stream_without_the_attempt_that_began_it_goes_on_at_the_only_version():
+    async with forwarding_fleet(1) as (setup,):
+        core = setup.entry.entry
+        await setup.until(lambda: core.listed_software.only_version("model"))
+        headers = {**RESUMED, "Resumes": ""}
+        status, _, _ = await setup.ask("/resume/x", "POST", **headers)
+        assert status == 200
+
+
+def is_refused_with(answer, code):
+    status, body, headers = answer
+    return status == 503 and code in body.decode() and float(headers["Retry-After"]) > 0
