--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from ebonyglade.quarantine.evidence import (
@@ -186,3 +187,71 @@
     expected = [sum(item[1] == request for item in distinct) for request in "fg"]
     assert joined(items) == expected
     assert MAX_CRASHES == 3
+
+
+def crash_with_answers_between(evidence, gap_s):
+    """Crash endpoints under requests that share a part, which others answer well."""
+    for number in range(5):
+        at = number * gap_s
+        run = BrokenRun(
+            f"endpoint-{number}", f"f-{number}", ("shared", f"own-{number}")
+        )
+        evidence.record_run(run, at, at)
+        for after in (0.3, 0.6):
+            answered_at = at + after * gap_s
+            evidence.record_answer("shared", answered_at, answered_at)
+
+
+# An answer within a second of the last one was dropped, also where a run had broken off
+# between the two: a part that sound requests share was blamed.
+@pytest.mark.known_red
+@pytest.mark.parametrize("gap_s", [0.12, 0.2])
+def test_whole_answers_clear_a_part_however_soon_they_follow_each_other(gap_s):
+    evidence = CrashEvidence()
+    crash_with_answers_between(evidence, gap_s)
+    assert not evidence.parts_blocked_for(("shared", "x"), 5 * gap_s)
+
+
+# An answer was dropped if the run that had broken off before it was heard of later.
+@pytest.mark.known_red
+def test_an_answer_counts_though_the_run_before_it_is_heard_of_later():
+    evidence = crashed(0.0, 1.0, 2.0)
+    evidence.record_answer("f", 2.5, 2.5)
+    evidence.record_answer("f", 2.9, 2.9)
+    evidence.record_run(BrokenRun("endpoint-9", "f"), 2.7, 3.1)
+    assert evidence.crashes("f", 3.2) == 0
+    unheard_of = CrashEvidence()
+    unheard_of.record_answer("f", 1.0, 1.0)
+    unheard_of.record_run(BrokenRun("endpoint-1", "f"), 0.8, 1.2)
+    assert unheard_of.crashes("f", 1.3) == 0
+
+
+answers = st.lists(
+    st.tuples(st.integers(0, 5), st.booleans(), st.floats(0.0, 3.0)), max_size=20
+)
+
+
+# What is known does not depend on what arrived first, and what is told is enough for
+# another process to know the same.
+@pytest.mark.known_red
+@settings(derandomize=True, deadline=None)
+@given(answers, st.randoms(use_true_random=False))
+def test_joined_answers_do_not_depend_on_order(items, rng):
+    def joined(reported):
+        first, second = CrashEvidence(), CrashEvidence()
+        for number, (endpoint, broke_off, at) in enumerate(reported):
+            now = 3.0 + 0.01 * number
+            if broke_off:
+                run = BrokenRun(f"endpoint-{endpoint}", "f")
+                first.record_run(run, at, now)
+                second.record_run(run, at, now, Source.ZONE)
+            else:
+                first.record_answer("f", at, now)
+            for answer in first.answers():
+                if answer.learned_at == now:
+                    second.record_answer("f", answer.at, now, Source.ZONE)
+        return first.crashes("f", 4.0), second.crashes("f", 4.0)
+
+    shuffled = list(items)
+    rng.shuffle(shuffled)
+    assert len({*joined(items), *joined(shuffled)}) == 1
