--- a/tests/forward/test_requests_that_crash.py
+++ b/tests/forward/test_requests_that_crash.py
@@ -49,6 +49,17 @@
 # Only a prefill that was lost before its head counted.
 @pytest.mark.parametrize("point", ["before_its_head", "after_its_head"])
 async def test_a_request_that_crashes_prefill_endpoints_is_not_sent_on(point):
+    await require_few_prefills(point, copies=12, pause_s=0.0)
+
+
+# The whole answer of a decode endpoint that had prefilled the prompt itself cleared the
+# crashes of prefill endpoints, but for those within a second of the last answer.
+@pytest.mark.known_red
+async def test_an_answer_without_a_prefill_does_not_clear_crashes_of_prefill_endpoints():
+    await require_few_prefills("after_its_head", copies=9, pause_s=1.1)
+
+
+async def require_few_prefills(point, copies, pause_s):
     async with forwarding_setup() as setup:
         endpoint = CrashingEndpoint(
             setup.store,
@@ -56,9 +67,10 @@
             lambda headers, body: body == b"bad",
             point,
         )
-        for number in range(12):
+        for number in range(copies):
             headers = {**MODEL, "X-Request-Id": f"id-{number}"}
             await ask(setup, endpoint, b"bad", **headers)
+            await asyncio.sleep(pause_s)
         assert endpoint.sent.count(b"bad") <= MAX_SENT
 
 
