Spread the requests that wait for the same tokens of a workspace (QUOTA)

Cause: a request that lacks tokens waits until they are there. All entries compute the same moment, so that requests which wait at several entries take the same tokens before the entries hear of each other. Ruled out: the levels at the start, which every process begins with the same burst; the breaks come from what is admitted when the bucket runs dry, 6.7 s later, where levels go 7,400 below zero.

A wait now ends at a random moment of the 0.1 s after that.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -55,6 +55,8 @@
 SOFTWARE_INTERVAL_S = 0.2  # between two looks at the versions that are listed
 MAX_RATE_WAIT_S = 0.3  # longest wait for tokens of the workspace's rate limit
 
+WAIT_SPREAD_S = 0.1  # far above the time in which entries hear of each other
+
 NextHandler = Callable[[ForwardCall], Awaitable[Reply]]
 AdmissionStep = Callable[[ForwardCall], Refusal | None]
 
@@ -246,7 +248,9 @@
             now = self.context.clock()
             if now + refusal.retry_after > until:
                 break
-            await asyncio.sleep(refusal.retry_after)
+            # Entries that wait for the same tokens must not take them all at once.
+            spread_s = self.context.rng.random() * WAIT_SPREAD_S
+            await asyncio.sleep(refusal.retry_after + spread_s)
             refusal = self._take_tokens(call)
         return refusal
 
--- /dev/null
+++ b/tests/forward/test_rates_of_a_fleet.py
@@ -0,0 +1,75 @@
+"""Rate limits while requests wait for tokens at many entries of a large fleet."""
+
+import asyncio
+import random
+
+import pytest
+
+from ebonyglade.forward.rates import RateTolerance
+from ebonyglade.forward.types import PromptSize, Workspace
+from ebonyglade_lab.virtual.loop import run
+from ebonyglade_lab.virtual.network import Network
+from helpers.entries import Entry
+
+TOLERANCE = RateTolerance(overage=0.25, slack=73_000.0, first_start=True)
+WORKSPACE = Workspace("w", ("key",), rate=20_000.0, burst=100_000.0)
+WINDOW_S = 8.0
+JOIN_S = 3.0
+LOAD_S = 30.0
+
+
+def allowed():
+    owed = WORKSPACE.rate * WINDOW_S + WORKSPACE.burst
+    return owed * (1 + TOLERANCE.overage) + TOLERANCE.slack
+
+
+async def flood(entries, cost, per_s, rng):
+    """Ask at random entries for far more than the rate; return what was admitted."""
+    admitted = []
+
+    async def ask(entry, number):
+        prompt = PromptSize("m", cost, 0)
+        call = entry.call(f"id-{number}", 14.0, str(number).encode(), prompt)
+        if await entry.core._admit_with_wait(call) is None:
+            admitted.append((entry.now, cost))
+
+    number, until = 0, entries[0].now + LOAD_S
+    while entries[0].now < until:
+        entry = rng.choice(entries)
+        entry.process.spawn(ask(entry, number))
+        number += 1
+        await asyncio.sleep(rng.expovariate(per_s))
+    await asyncio.sleep(1.0)
+    return admitted
+
+
+def most_in_window(admitted):
+    return max(
+        sum(cost for at, cost in admitted if start <= at < start + WINDOW_S)
+        for start, _ in admitted
+    )
+
+
+def admitted_by(count, zones, cost, seed):
+    async def scenario():
+        network = Network(random.Random(seed))
+        entries = [
+            Entry(network, f"e{n}", TOLERANCE, f"z{n % zones}", workspace=WORKSPACE)
+            for n in range(count)
+        ]
+        await asyncio.sleep(JOIN_S)
+        return await flood(entries, cost, 30.0, random.Random(100 + seed))
+
+    return run(scenario())
+
+
+# Requests that waited at several entries for the same tokens took them at the same
+# moment, before the entries heard of each other.
+@pytest.mark.parametrize(("count", "zones"), [(5, 4), (20, 4), (40, 4)])
+@pytest.mark.parametrize("cost", [5_000, 20_000])
+def test_requests_that_wait_at_many_entries_keep_the_rate(count, zones, cost):
+    admitted = admitted_by(count, zones, cost, seed=1)
+    assert most_in_window(admitted) <= allowed()
+    # All that the workspace is owed is admitted.
+    total = sum(cost for _, cost in admitted)
+    assert total >= WORKSPACE.burst + 0.95 * WORKSPACE.rate * LOAD_S
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -35,6 +35,7 @@
         port=None,
         shares=MODEL_SHARES,
         documents=(),
+        workspace=WORKSPACE,
     ):
         self.process = Process(name, incarnation)
         context = member_context(self.process, network, zone)
@@ -51,7 +52,7 @@
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
         self.core.start()
         routes = [route(RetryMode.STREAM, shares=shares, target_s=1.0, timeout_s=14.0)]
-        published = configuration(1, 2, routes=routes, workspaces=(WORKSPACE,))
+        published = configuration(1, 2, routes=routes, workspaces=(workspace,))
         self.core.replica.apply([published, *documents], at(50))
         self.core.replica.confirm_current_at(context.clock())
         self.process.spawn(self._run())
