Give streams that are taken up a module of their own, and rank permit owners once

No decision changes: ForwardEntry had grown by the steps that bind a stream; the owners of permits were ranked once for each limited endpoint in each heartbeat.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -27,13 +27,14 @@
 from ebonyglade.forward.rate_exchange import RateExchange
 from ebonyglade.forward.rates import FleetRates, RateTolerance
 from ebonyglade.forward.replica_sync import ReplicaSync
+from ebonyglade.forward.resumed_streams import ResumedStreams
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store_replica import (
     REFRESH_INTERVAL_S,
     StoreReplica,
     log_store_change,
 )
-from ebonyglade.forward.stream_origins import ListedSoftware, stream_key
+from ebonyglade.forward.stream_origins import ListedSoftware
 from ebonyglade.forward.types import Endpoint, Load, Stage, Workspace, incarnation
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.forward.zone_reports import RECENT_TOTALS_S
@@ -52,7 +53,6 @@
 
 DEFAULT_DEADLINE_S = 30.0  # for callers that send no deadline
 CLEANUP_INTERVAL_S = 1.0
-SOFTWARE_INTERVAL_S = 0.2  # between two looks at the versions that are listed
 MAX_RATE_WAIT_S = 0.3  # longest wait for tokens of the workspace's rate limit
 
 WAIT_SPREAD_S = 0.1  # far above the time in which entries hear of each other
@@ -145,11 +145,16 @@
             permits=self.limit_exchange.acquire,
         )
         self.origin_exchange = OriginExchange(context, self.members)
-        self.listed_software = ListedSoftware(context.clock())
+        self.resumed_streams = ResumedStreams(
+            context,
+            self.replica,
+            self.origin_exchange,
+            ListedSoftware(context.clock()),
+        )
         self.plain_dispatcher = PlainDispatcher(self.attempts)
         self.agent_client = AgentClient(context)
         self.generation_dispatcher = GenerationDispatcher(
-            self.attempts, self.agent_client, self._announce_stream
+            self.attempts, self.agent_client, self.resumed_streams.record_begun
         )
         # The steps run in this order; the first refusal ends the request.
         # `_take_tokens` must be the last one, since `_admit_with_wait` repeats only it.
@@ -168,7 +173,7 @@
         self.agent_client.start()
         self.rate_exchange.start()
         self.limit_exchange.start()
-        self.origin_exchange.start()
+        self.resumed_streams.start()
         self.members.heartbeat_listeners += [
             self.replica_sync.on_heartbeat,
             self.agent_client.on_heartbeat,
@@ -184,7 +189,6 @@
         self.context.handle({RefusalNotice: self._on_refused})
         self.context.every(CLEANUP_INTERVAL_S, self._clean_up)
         self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
-        self.context.every(SOFTWARE_INTERVAL_S, self._record_software)
 
     @property
     def ready(self) -> bool:
@@ -199,7 +203,7 @@
         """Admit a request, send it, and return its response or a refusal."""
         refusal = await self._admit_with_wait(call)
         if refusal is None:
-            refusal = await self._bind_software(call)
+            refusal = await self.resumed_streams.bind(call)
         if refusal is not None:
             self._refund(call)
             self._log_refusal(call, refusal)
@@ -254,40 +258,6 @@
             refusal = self._take_tokens(call)
         return refusal
 
-    async def _bind_software(self, call: ForwardCall) -> Refusal | None:
-        """Bind a stream that is taken up to the software version that began it."""
-        if not (call.route.resumable and call.metadata.last_event_id):
-            return None
-        call.software = await self._find_software(call)
-        if call.software is None:
-            return refuse("stream_unknown")
-        registry = self.replica.registry
-        if registry.accepting(call.service.name, software=call.software):
-            return None
-        return refuse("software_gone")
-
-    async def _find_software(self, call: ForwardCall) -> str | None:
-        """Return the version that began the stream of a call; None if not known.
-
-        A stream that nobody knows began at the only version that was listed for so long
-        that there was no other when it began.
-        """
-        resumes = call.metadata.resumes
-        if resumes:
-            stream = stream_key(call.workspace_name, resumes)
-            software = await self.origin_exchange.find(stream)
-            if software is not None:
-                return software
-        if resumes and not self.listed_software.is_complete(self.context.clock()):
-            return None
-        return self.listed_software.only_version(call.service.name)
-
-    def _announce_stream(self, call: ForwardCall, endpoint: Endpoint) -> None:
-        """Tell others which version began a stream that may be taken up."""
-        if call.route.resumable and not call.metadata.last_event_id:
-            stream = stream_key(call.workspace_name, call.id)
-            self.origin_exchange.announce(stream, endpoint.software)
-
     def admit(self, call: ForwardCall) -> Refusal | None:
         """Run the admission steps, which fill in the call.
 
@@ -467,9 +437,6 @@
             load = Load(state.running, state.waiting, endpoint.slots)
             self.loads.record_load(endpoint.id, load, reported_at)
 
-    def _record_software(self, now: float) -> None:
-        self.listed_software.record(self.replica.registry.endpoints.values(), now)
-
     def _clean_up(self, now: float) -> None:
         self.rate_exchange.forget_departed()
         self.crashes.forget(now)
--- a/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
@@ -1,7 +1,7 @@
 """Exchange of the limits that endpoints state, and of permits to send to them.
 
 A process that notices a limit tells the others at once. The permits of an endpoint are
-granted by one process of its availability zone, see `FleetMembers.permit_owner`, which
+granted by one process of its availability zone, see `FleetMembers.permit_owners`, which
 also repeats the limit for those that missed it or were started since.
 """
 
@@ -67,12 +67,19 @@
 
     def records(self) -> list[LimitRecord]:
         """Return the limits of the endpoints whose permits this process grants."""
+        limited = [
+            endpoint
+            for endpoint in self.listed()
+            if self.limits.limit(endpoint.incarnation) is not None
+        ]
+        if not limited:
+            return []
         now = self.context.clock()
+        owners = self.members.permit_owners(now)
         return [
             self._record(endpoint.incarnation, now)
-            for endpoint in self.listed()
-            if self.limits.limit(endpoint.incarnation) is not None
-            and self._owner(endpoint, now) == self.members.address
+            for endpoint in limited
+            if owners.of(endpoint.zone) == self.members.address
         ]
 
     def forget(self, now: float) -> None:
@@ -123,7 +130,7 @@
         return self._counts.take(endpoint, per_s, max_wait_s, now)
 
     def _owner(self, endpoint: Endpoint, now: float) -> str:
-        return self.members.permit_owner(endpoint.zone, now)
+        return self.members.permit_owners(now).of(endpoint.zone)
 
     def _record(self, endpoint: str, now: float) -> LimitRecord:
         stated = self.limits.stated(endpoint)
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -110,6 +110,20 @@
     permit_owners: dict[str, str] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class PermitOwners:
+    """The members that grant permits for endpoints that state a limit, by zone."""
+
+    by_zone: dict[str, str]
+
+    def of(self, zone: str) -> str:
+        """Return the member for the endpoints of a zone.
+
+        It is that of the first other zone if the zone has none.
+        """
+        return self.by_zone.get(zone) or self.by_zone[min(self.by_zone)]
+
+
 ComposeHeartbeat = Callable[[bool], FleetHeartbeat]
 """Returns the heartbeat to send, with all totals or with those that changed lately."""
 HeartbeatListener = Callable[[Member, FleetHeartbeat], None]
@@ -218,17 +232,11 @@
         silent = sum(item.entry and item.address not in live for item in self.direct())
         return 1.0 - silent / self.entry_count()
 
-    def permit_owner(self, zone: str, now: float) -> str:
-        """Return the member that grants permits for the endpoints of a zone.
+    def permit_owners(self, now: float) -> PermitOwners:
+        """Return the members that grant permits; this process may be among them.
 
-        It is the zone's first member by `reporter_rank`, or that of the first other
-        zone if the zone has none. It may be this process.
+        They are the first ones of their zones by `reporter_rank`.
         """
-        owners = self._permit_owners(now)
-        return owners.get(zone) or owners[min(owners)]
-
-    def _permit_owners(self, now: float) -> dict[str, str]:
-        """Return the member that grants permits in each zone."""
         ranked = [(reporter_rank(self.address, self.capacity), self.zone, self.address)]
         ranked += [
             (reporter_rank(item.address, item.capacity), item.zone, item.address)
@@ -238,8 +246,8 @@
         ranked.sort(reverse=True)
         owners = {zone: address for _, zone, address in ranked}
         if self.divided:
-            owners = {**owners, **self.other_zones.permit_owners}
-        return owners
+            owners |= self.other_zones.permit_owners
+        return PermitOwners(owners)
 
     def zone_members(self, now: float) -> list[Member]:
         """Return the live members of the own zone that zone reports speak for."""
--- a/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/zone_exchange.py
@@ -204,7 +204,7 @@
                 now, self._repeats_evidence(), Source.ZONE
             ),
             limits=self.limits(),
-            permit_owner=self.members.permit_owner(self.members.zone, now),
+            permit_owner=self.members.permit_owners(now).of(self.members.zone),
         )
 
     def _partial_report(self) -> ZoneReport:
--- a/tests/forward/test_rates_of_a_fleet.py
+++ b/tests/forward/test_rates_of_a_fleet.py
@@ -75,8 +75,8 @@
     assert total >= WORKSPACE.burst + 0.95 * WORKSPACE.rate * LOAD_S
 
 
-# What buckets left unused of the granted tokens was less than one large request, so that
-# any two that were admitted at the same moment could exceed it.
+# What buckets left unused of the granted tokens was less than one large request, so
+# that any two that were admitted at the same moment could exceed it.
 @pytest.mark.parametrize("seed", [0, 5, 8, 9])
 def test_requests_that_collide_all_the_same_keep_the_rate(seed):
     admitted = admitted_by(20, 4, 20_000, seed)
--- a/tests/forward/test_streams_of_two_versions.py
+++ b/tests/forward/test_streams_of_two_versions.py
@@ -93,7 +93,7 @@
 async def test_a_stream_without_the_attempt_that_began_it_goes_on_at_the_only_version():
     async with forwarding_fleet(1) as (setup,):
         core = setup.entry.entry
-        await setup.until(lambda: core.listed_software.only_version("model"))
+        await setup.until(lambda: core.resumed_streams.listed.only_version("model"))
         headers = {**RESUMED, "Resumes": ""}
         status, _, _ = await setup.ask("/resume/x", "POST", **headers)
         assert status == 200
