--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -41,8 +41,10 @@
 USED_OVERAGE_SHARE = 0.95
 USED_SLACK_SHARE = 0.85
 # Requests that entries may admit for the same tokens before they hear of each other:
-# where a workspace asks for more than its rate, they wait at several entries.
-COLLIDING_REQUESTS = 3
+# where a workspace asks for more than its rate, they wait at several entries. More do
+# where entries hear of each other through the reporters of their zones.
+COLLIDING_REQUESTS = 1
+COLLIDING_REQUESTS_OF_ZONES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,18 +73,18 @@
         burst_with_overage = workspace.burst * (1 + USED_OVERAGE_SHARE * self.overage)
         return burst_with_overage + USED_SLACK_SHARE * self.slack
 
-    def reserve(self, workspace: Workspace, largest: float) -> float:
+    def reserve(self, workspace: Workspace, colliding: float) -> float:
         """Return the tokens that stay in a bucket, for requests that collide.
 
         It is taken from what is granted above the burst, and not more than that.
 
         Args:
             workspace: the workspace.
-            largest: cost of its largest request so far.
+            colliding: tokens that requests which collide may cost.
         """
         granted = self.overage * workspace.burst + self.slack
         used = self.burst(workspace) - workspace.burst
-        return min(used, max(0.0, COLLIDING_REQUESTS * largest - (granted - used)))
+        return min(used, max(0.0, colliding - (granted - used)))
 
     def initial_level(self, workspace: Workspace) -> float:
         """Return the initial tokens of a bucket whose history is not known."""
@@ -255,7 +257,8 @@
         bucket = self._bucket(workspace, now)
         largest = max(cost, self._largest.get(workspace.name, 0.0))
         self._largest[workspace.name] = largest
-        needed = cost + self.limits.reserve(workspace, largest)
+        colliding = largest * self._colliding_requests()
+        needed = cost + self.limits.reserve(workspace, colliding)
         # A request that costs more than the burst needs a full bucket and leaves
         # the bucket negative.
         missing = min(needed, self.limits.burst(workspace)) - bucket.level
@@ -264,6 +267,11 @@
         self._charge(workspace.name, cost, now)
         return 0.0
 
+    def _colliding_requests(self) -> int:
+        """Return how many requests may be admitted at the same moment."""
+        by_zones = any(other.offsets for other in self._others.values())
+        return COLLIDING_REQUESTS_OF_ZONES if by_zones else COLLIDING_REQUESTS
+
     def refund(self, workspace: Workspace, cost: float) -> None:
         """Return the tokens of a request that did not run to the bucket."""
         if workspace.rate > 0:
--- a/tests/forward/test_rates_of_a_fleet.py
+++ b/tests/forward/test_rates_of_a_fleet.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ebonyglade.forward.rates import RateTolerance
+from ebonyglade.forward.rates import FleetRates, RateTolerance
 from ebonyglade.forward.types import PromptSize, Workspace
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
@@ -81,3 +81,13 @@
 def test_requests_that_collide_all_the_same_keep_the_rate(seed):
     admitted = admitted_by(20, 4, 20_000, seed)
     assert most_in_window(admitted) <= allowed()
+
+
+# A reserve for many requests, also where entries hear of each other at once, refused
+# requests that a workspace is granted above its burst.
+def test_a_small_fleet_admits_most_of_what_is_granted():
+    rates = FleetRates(TOLERANCE, 0.0, lambda name: WORKSPACE)
+    admitted = 0.0
+    while rates.take(WORKSPACE, 20_000.0, 0.0) == 0.0:
+        admitted += 20_000.0
+    assert admitted >= TOLERANCE.burst(WORKSPACE) - 2 * 20_000.0
