Choose an endpoint once where none states a limit

Cause: to know whether a permit is worth waiting for, the choice was made a second time for every plain request and prefill, also without any limit; and each heartbeat went through all endpoints to find limited ones. Both are now done only where a limit is stated. Nothing else changes.

--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -112,6 +112,8 @@
         The permit is waited for only if no other endpoint is left.
         """
         while (endpoint := self.choose(call, excluded, stage)) is not None:
+            if not self._is_limited(endpoint):
+                return endpoint
             is_last = self.choose(call, {*excluded, endpoint.id}, stage) is None
             max_wait_s = min(MAX_PERMIT_WAIT_S, self.remaining_s(call) / 2)
             if await self.acquire_permit(endpoint, max_wait_s if is_last else 0.0):
@@ -124,8 +126,6 @@
         Returns:
             False if it was refused; the endpoint is then not chosen for some time.
         """
-        if self.endpoint_limits.limit(endpoint.incarnation) is None:
-            return True
         permit = await self.permits(endpoint, max_wait_s)
         if permit.granted:
             if permit.wait_s > 0:
@@ -180,7 +180,7 @@
                 failure counts for its verdict.
         """
         self.count("sendings")
-        if self.endpoint_limits.limit(endpoint.incarnation) is not None:
+        if self._is_limited(endpoint):
             self.count("sendings_limited")
         call.endpoints.append(endpoint.id)
         sent_at = self.clock()
@@ -430,6 +430,9 @@
                 extra={"endpoint": endpoint.id, "seconds": metadata.retry_after_s},
             )
 
+    def _is_limited(self, endpoint: Endpoint) -> bool:
+        return self.endpoint_limits.limit(endpoint.incarnation) is not None
+
     def _record_limit(self, endpoint: Endpoint, per_s: float, now: float) -> None:
         if self.endpoint_limits.observe(endpoint.incarnation, per_s, now):
             logger.info(
--- a/packages/ebonyglade/src/ebonyglade/forward/endpoint_limits.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/endpoint_limits.py
@@ -33,6 +33,11 @@
     listeners: list[Callable[[str], None]] = field(default_factory=list)
     _stated: dict[str, StatedLimit] = field(default_factory=dict)
 
+    @property
+    def any_in_force(self) -> bool:
+        """Whether any endpoint states a limit now."""
+        return any(stated.per_s is not None for stated in self._stated.values())
+
     def limit(self, endpoint: str) -> float | None:
         """Return the requests per second that an endpoint takes; None for no limit."""
         stated = self._stated.get(endpoint)
--- a/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
@@ -67,19 +67,15 @@
 
     def records(self) -> list[LimitRecord]:
         """Return the limits of the endpoints whose permits this process grants."""
-        limited = [
-            endpoint
-            for endpoint in self.listed()
-            if self.limits.limit(endpoint.incarnation) is not None
-        ]
-        if not limited:
+        if not self.limits.any_in_force:
             return []
         now = self.context.clock()
         owners = self.members.permit_owners(now)
         return [
             self._record(endpoint.incarnation, now)
-            for endpoint in limited
-            if owners.of(endpoint.zone) == self.members.address
+            for endpoint in self.listed()
+            if self.limits.limit(endpoint.incarnation) is not None
+            and owners.of(endpoint.zone) == self.members.address
         ]
 
     def forget(self, now: float) -> None:
