Let the exchanges of limits and streams wire themselves, once for entries and agents

Cause: entry and agent each had the same two forwarding methods and the same timers for them. The limit exchange now takes the replica, gives the zone exchange its records and, like the exchange of streams, forgets by a timer of its own, each second as before.

--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -32,7 +32,6 @@
     EngineState,
     FleetHeartbeat,
     GrantResponse,
-    LimitRecord,
     MemoryRelease,
     MemoryRequest,
     PrefillLeaseRelease,
@@ -115,14 +114,13 @@
             False,
             self.replica_sync.leaving_records,
             self.evidence_exchange,
-            self._limit_records,
         )
         self.limit_exchange = LimitExchange(
             context,
             self.members,
             self.zones,
             EndpointLimits(),
-            self._listed_endpoints,
+            self.replica,
         )
         self.origin_exchange = OriginExchange(context, self.members)
         self._address = address
@@ -151,8 +149,6 @@
         self.members.start()
         self.context.every(REFRESH_INTERVAL_S, self.replica.refresh_endpoints)
         self.context.every(FORGET_INTERVAL_S, self.crashes.forget)
-        self.context.every(FORGET_INTERVAL_S, self.limit_exchange.forget)
-        self.context.every(FORGET_INTERVAL_S, self.origin_exchange.forget)
         self.context.handle(
             {
                 TokensAdmitted: self._on_tokens_admitted,
@@ -236,12 +232,6 @@
             del self._last_changing[name]
         return set(self._last_changing)
 
-    def _limit_records(self) -> list[LimitRecord]:
-        return self.limit_exchange.records()
-
-    def _listed_endpoints(self) -> list[Endpoint]:
-        return list(self.replica.registry.endpoints.values())
-
     def _compose_heartbeat(self, complete: bool) -> FleetHeartbeat:
         now = self.context.clock()
         heartbeat = FleetHeartbeat(
@@ -255,7 +245,7 @@
             ),
             capacity=self.members.capacity,
             zoned=True,
-            limits=self._limit_records() if complete else [],
+            limits=self.limit_exchange.records() if complete else [],
             permits=True,
             origins=True,
         )
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -35,7 +35,7 @@
     log_store_change,
 )
 from ebonyglade.forward.stream_origins import ListedSoftware
-from ebonyglade.forward.types import Endpoint, Load, Stage, Workspace, incarnation
+from ebonyglade.forward.types import Load, Stage, Workspace, incarnation
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.forward.zone_reports import RECENT_TOTALS_S
 from ebonyglade.ports import Sender
@@ -44,7 +44,6 @@
 from ebonyglade.wire.fleet import (
     EngineState,
     FleetHeartbeat,
-    LimitRecord,
     RefusalNotice,
     ZoneReport,
 )
@@ -54,7 +53,6 @@
 DEFAULT_DEADLINE_S = 30.0  # for callers that send no deadline
 CLEANUP_INTERVAL_S = 1.0
 MAX_RATE_WAIT_S = 0.3  # longest wait for tokens of the workspace's rate limit
-
 WAIT_SPREAD_S = 0.1  # far above the time in which entries hear of each other
 
 NextHandler = Callable[[ForwardCall], Awaitable[Reply]]
@@ -117,7 +115,6 @@
             True,
             self.replica_sync.leaving_records,
             self.evidence_exchange,
-            self._limit_records,
         )
         self.endpoint_limits = EndpointLimits()
         self.limit_exchange = LimitExchange(
@@ -125,7 +122,7 @@
             self.members,
             self.zones,
             self.endpoint_limits,
-            self._listed_endpoints,
+            self.replica,
         )
         self.rate_exchange = RateExchange(context, self.members, self.rates, self.zones)
         self.attempts = AttemptSender(
@@ -385,12 +382,6 @@
             return True
         return call.metadata.key in self.replica.table.workspaces_by_key
 
-    def _limit_records(self) -> list[LimitRecord]:
-        return self.limit_exchange.records()
-
-    def _listed_endpoints(self) -> list[Endpoint]:
-        return list(self.replica.registry.endpoints.values())
-
     def _compose_heartbeat(self, complete: bool) -> FleetHeartbeat:
         now = self.context.clock()
         recent = now - RECENT_TOTALS_S
@@ -409,7 +400,7 @@
             leaving=self.replica_sync.leaving_records(),
             capacity=self.members.capacity,
             zoned=True,
-            limits=self._limit_records() if complete else [],
+            limits=self.limit_exchange.records() if complete else [],
             permits=True,
             origins=True,
         )
@@ -442,8 +433,6 @@
         self.crashes.forget(now)
         listed = self.replica.registry.endpoints
         self.loads.retain(listed)
-        self.limit_exchange.forget(now)
-        self.origin_exchange.forget(now)
         self.generation_dispatcher.reserver.memory_estimates.retain(listed)
         self.agent_client.retain(set(listed))
 
--- a/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ebonyglade.context import Context
 from ebonyglade.forward.endpoint_limits import EndpointLimits
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.permits import FREE_PERMIT, Permit, PermitCounts
+from ebonyglade.forward.store_replica import StoreReplica
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
@@ -29,6 +30,7 @@
 logger = logging.getLogger(__name__)
 
 RESPONSE_TIMEOUT_S = 0.1  # a response takes a round trip of a few milliseconds
+FORGET_INTERVAL_S = 1.0  # between two removals of what is not used any more
 UNANSWERED_WAIT_S = 0.2  # until a process that did not answer is asked again
 
 
@@ -41,19 +43,20 @@
         members: the members of the fleet.
         zones: passes notices on to the other zones of a large fleet.
         limits: limits that endpoints state.
-        listed: returns the endpoints in use.
+        replica: local replica of the store with the endpoints.
     """
 
     context: Context
     members: FleetMembers
     zones: ZoneExchange
     limits: EndpointLimits
-    listed: Callable[[], Iterable[Endpoint]]
+    replica: StoreReplica
     _counts: PermitCounts = field(default_factory=PermitCounts)
     _pending: dict[str, asyncio.Future] = field(default_factory=dict)
 
     def start(self) -> None:
         """Register listeners and message handlers."""
+        self.zones.limits = self.records
         self.limits.listeners.append(self._announce)
         self.members.heartbeat_listeners.append(self._on_heartbeat)
         self.zones.listeners.append(self._on_zone_report)
@@ -64,6 +67,7 @@
                 PermitResponse: self._on_response,
             }
         )
+        self.context.every(FORGET_INTERVAL_S, self._forget)
 
     def records(self) -> list[LimitRecord]:
         """Return the limits of the endpoints whose permits this process grants."""
@@ -73,16 +77,11 @@
         owners = self.members.permit_owners(now)
         return [
             self._record(endpoint.incarnation, now)
-            for endpoint in self.listed()
+            for endpoint in self._listed()
             if self.limits.limit(endpoint.incarnation) is not None
             and owners.of(endpoint.zone) == self.members.address
         ]
 
-    def forget(self, now: float) -> None:
-        """Forget endpoints that are not listed any more or not used."""
-        self._counts.forget(now)
-        self.limits.retain({endpoint.incarnation for endpoint in self.listed()})
-
     async def acquire(self, endpoint: Endpoint, max_wait_s: float) -> Permit:
         """Ask for a permit to send one request to an endpoint.
 
@@ -125,6 +124,14 @@
         per_s = limit * self.members.live_entry_share(now)
         return self._counts.take(endpoint, per_s, max_wait_s, now)
 
+    def _listed(self) -> Iterable[Endpoint]:
+        return self.replica.registry.endpoints.values()
+
+    def _forget(self, now: float) -> None:
+        """Forget endpoints that are not listed any more or not used."""
+        self._counts.forget(now)
+        self.limits.retain({endpoint.incarnation for endpoint in self._listed()})
+
     def _owner(self, endpoint: Endpoint, now: float) -> str:
         return self.members.permit_owners(now).of(endpoint.zone)
 
@@ -137,7 +144,7 @@
         now = self.context.clock()
         notice = LimitNotice([self._record(endpoint, now)])
         self.zones.announce(notice)
-        for item in self.listed():
+        for item in self._listed():
             if item.incarnation == endpoint:
                 self.context.send(self._owner(item, now), notice)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/origin_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origin_exchange.py
@@ -19,6 +19,7 @@
 
 COPIES = 3  # members that are told of a stream, besides the one that began it
 ASKED_MEMBERS = 6  # more than `COPIES`, since members may have come and gone since
+FORGET_INTERVAL_S = 1.0  # between two removals of streams that began long ago
 RANK_BYTES = 8
 RESPONSE_TIMEOUT_S = 0.15  # a response takes a round trip of a few milliseconds
 
@@ -61,6 +62,7 @@
                 OriginAnswer: self._on_answer,
             }
         )
+        self.context.every(FORGET_INTERVAL_S, self.origins.forget)
 
     def announce(self, stream: str, software: str) -> None:
         """Record that an endpoint of a version began a stream, and tell others."""
@@ -98,10 +100,6 @@
         finally:
             del self._searches[search_id]
 
-    def forget(self, now: float) -> None:
-        """Forget streams that began long ago."""
-        self.origins.forget(now)
-
     def _keepers(self, stream: str, now: float) -> list[Member]:
         """Return the members that may keep a stream, in the order of choice."""
         members = [
