Wait for answers of other processes in one place

Cause: the limit exchange and the search for streams each wrote again what AgentClient had: a future by the id of a question, sent, awaited with a time limit and removed. All three now use PendingAnswers; what they count and log stays with them, and the class of a search is gone.

--- a/packages/ebonyglade/src/ebonyglade/forward/agent_client.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent_client.py
@@ -1,10 +1,10 @@
 """Requests memory grants and prefill leases from the agents beside endpoints."""
 
-import asyncio
 from dataclasses import dataclass, field
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import Member
+from ebonyglade.forward.pending_answers import PendingAnswers
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import (
     FleetHeartbeat,
@@ -40,7 +40,7 @@
 
     context: Context
     _agents: dict[str, _Agent] = field(default_factory=dict)
-    _pending: dict[str, asyncio.Future] = field(default_factory=dict)
+    _pending: PendingAnswers = field(default_factory=PendingAnswers)
 
     def start(self) -> None:
         """Register the handler of agents' responses."""
@@ -98,18 +98,16 @@
     async def _request(
         self, endpoint: str, message: MemoryRequest | PrefillLeaseRequest
     ) -> GrantResponse | None:
-        future = asyncio.get_running_loop().create_future()
-        self._pending[message.ask] = future
+        address = self._agents[endpoint].address
         try:
-            if not self.context.send(self._agents[endpoint].address, message):
-                return None
-            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                return await future
+            return await self._pending.ask(
+                message.ask,
+                lambda: self.context.send(address, message),
+                RESPONSE_TIMEOUT_S,
+            )
         except TimeoutError:
             self.context.count("rooms_unanswered")
             return None
-        finally:
-            del self._pending[message.ask]
 
     def release_memory(self, endpoint: str, request: str) -> None:
         """Release the memory that was granted to a request."""
@@ -118,6 +116,4 @@
             self.context.send(agent.address, MemoryRelease(request))
 
     def _on_response(self, sender: Sender, response: GrantResponse) -> None:
-        future = self._pending.get(response.ask)
-        if future is not None and not future.done():
-            future.set_result(response)
+        self._pending.resolve(response.ask, response)
--- a/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/limit_exchange.py
@@ -5,7 +5,6 @@
 also repeats the limit for those that missed it or were started since.
 """
 
-import asyncio
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -13,6 +12,7 @@
 from ebonyglade.context import Context
 from ebonyglade.forward.endpoint_limits import EndpointLimits
 from ebonyglade.forward.members import FleetMembers, Member
+from ebonyglade.forward.pending_answers import PendingAnswers
 from ebonyglade.forward.permits import FREE_PERMIT, Permit, PermitCounts
 from ebonyglade.forward.store_replica import StoreReplica
 from ebonyglade.forward.types import Endpoint
@@ -52,7 +52,7 @@
     limits: EndpointLimits
     replica: StoreReplica
     _counts: PermitCounts = field(default_factory=PermitCounts)
-    _pending: dict[str, asyncio.Future] = field(default_factory=dict)
+    _pending: PendingAnswers = field(default_factory=PendingAnswers)
 
     def start(self) -> None:
         """Register listeners and message handlers."""
@@ -100,21 +100,22 @@
         return await self._ask(owner, request)
 
     async def _ask(self, owner: str, request: PermitRequest) -> Permit:
-        future = asyncio.get_running_loop().create_future()
-        self._pending[request.ask] = future
         try:
-            if self.context.send(owner, request):
-                async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                    return await future
+            response = await self._pending.ask(
+                request.ask,
+                lambda: self.context.send(owner, request),
+                RESPONSE_TIMEOUT_S,
+            )
         except TimeoutError:
+            response = None
             logger.info(
                 "permit not answered",
                 extra={"endpoint": request.limit.endpoint, "owner": owner},
             )
-        finally:
-            del self._pending[request.ask]
-        self.context.count("permits_unanswered")
-        return Permit(False, UNANSWERED_WAIT_S)
+        if response is None:
+            self.context.count("permits_unanswered")
+            return Permit(False, UNANSWERED_WAIT_S)
+        return Permit(response.granted, response.wait_s)
 
     def _grant(self, endpoint: str, max_wait_s: float, now: float) -> Permit:
         """Grant or refuse a permit as the process that counts them."""
@@ -181,6 +182,4 @@
         self.context.send(sender.instance, response)
 
     def _on_response(self, sender: Sender, message: PermitResponse) -> None:
-        future = self._pending.get(message.ask)
-        if future is not None and not future.done():
-            future.set_result(Permit(message.granted, message.wait_s))
+        self._pending.resolve(message.ask, message)
--- a/packages/ebonyglade/src/ebonyglade/forward/origin_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origin_exchange.py
@@ -5,13 +5,13 @@
 a stream asks them.
 """
 
-import asyncio
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member
+from ebonyglade.forward.pending_answers import PendingAnswers
 from ebonyglade.forward.stream_origins import StreamOrigins
 from ebonyglade.hashing import hexdigest
 from ebonyglade.ports import Sender
@@ -24,20 +24,6 @@
 RESPONSE_TIMEOUT_S = 0.15  # a response takes a round trip of a few milliseconds
 
 
-@dataclass(slots=True)
-class _Search:
-    """Search for one stream.
-
-    Attributes:
-        found: resolves to the version, or to None if nobody knows the stream.
-        unanswered: members that have not answered yet. Those of other zones answer
-            only if they know the stream.
-    """
-
-    found: asyncio.Future
-    unanswered: int
-
-
 @dataclass(slots=True)
 class OriginExchange:
     """Tells others of streams, answers what it was told, and asks.
@@ -51,7 +37,10 @@
     context: Context
     members: FleetMembers
     origins: StreamOrigins = field(default_factory=StreamOrigins)
-    _searches: dict[str, _Search] = field(default_factory=dict)
+    _pending: PendingAnswers = field(default_factory=PendingAnswers)
+    # Members that have not answered a search yet. Those of other zones answer only if
+    # they know the stream.
+    _unanswered: dict[str, int] = field(default_factory=dict)
 
     def start(self) -> None:
         """Register message handlers."""
@@ -81,24 +70,31 @@
         relays = self.members.reporters_elsewhere(now) if self.members.divided else []
         if not asked and not relays:
             return None
-        search_id = self.context.new_id()
-        future = asyncio.get_running_loop().create_future()
-        self._searches[search_id] = _Search(future, len(asked) + len(relays))
-        query = OriginQuery(search_id, stream, self.members.address)
-        for address in asked:
-            self.context.send(address, query)
-        for address in relays:
-            self.context.send(
-                address, msgspec.structs.replace(query, scope=QueryScope.ZONE)
-            )
+        query = OriginQuery(self.context.new_id(), stream, self.members.address)
+        self._unanswered[query.ask] = len(asked) + len(relays)
         try:
-            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                return await future
+            answer = await self._pending.ask(
+                query.ask,
+                lambda: self._send_queries(query, asked, relays),
+                RESPONSE_TIMEOUT_S,
+            )
         except TimeoutError:
             self.context.count("stream_origins_unanswered")
             return None
         finally:
-            del self._searches[search_id]
+            del self._unanswered[query.ask]
+        return answer.software
+
+    def _send_queries(
+        self, query: OriginQuery, asked: list[str], relays: list[str]
+    ) -> bool:
+        """Send a query to members of the own zone, and to those that pass it on."""
+        for address in asked:
+            self.context.send(address, query)
+        zone_query = msgspec.structs.replace(query, scope=QueryScope.ZONE)
+        for address in relays:
+            self.context.send(address, zone_query)
+        return True
 
     def _keepers(self, stream: str, now: float) -> list[Member]:
         """Return the members that may keep a stream, in the order of choice."""
@@ -124,12 +120,11 @@
                 self.context.send(member.address, query)
 
     def _on_answer(self, sender: Sender, message: OriginAnswer) -> None:
-        search = self._searches.get(message.ask)
-        if search is None or search.found.done():
+        if message.ask not in self._unanswered:
             return
-        search.unanswered -= 1
-        if message.software is not None or search.unanswered == 0:
-            search.found.set_result(message.software)
+        self._unanswered[message.ask] -= 1
+        if message.software is not None or self._unanswered[message.ask] == 0:
+            self._pending.resolve(message.ask, message)
 
 
 def _rank(address: str, stream: str) -> str:
