--- a/packages/ebonyglade/src/ebonyglade/forward/endpoint_limits.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/endpoint_limits.py
@@ -47,11 +47,12 @@
         """Return the newest statement of an endpoint that has stated a limit."""
         return self._stated[endpoint]
 
-    def observe(self, endpoint: str, per_s: float, now: float) -> bool:
-        """Record the limit in an answer to this process; True if it is another one."""
+    def observe(self, endpoint: str, per_s: float | None, now: float) -> bool:
+        """Record what an answer to this process states; True if that is news."""
         changed = self.record(endpoint, per_s, now)
         if changed:
-            self._notify(endpoint)
+            for listener in self.listeners:
+                listener(endpoint)
         return changed
 
     def record(self, endpoint: str, per_s: float | None, at: float) -> bool:
@@ -85,16 +86,9 @@
         known = self._stated.get(endpoint)
         if known is None or sent_at <= known.at:
             return False
-        changed = self.record(endpoint, None, now)
-        if changed:
-            self._notify(endpoint)
-        return changed
+        return self.observe(endpoint, None, now)
 
     def retain(self, listed: Collection[str]) -> None:
         """Forget all endpoints that are not listed any more."""
         for endpoint in [name for name in self._stated if name not in listed]:
             del self._stated[endpoint]
-
-    def _notify(self, endpoint: str) -> None:
-        for listener in self.listeners:
-            listener(endpoint)
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -24,7 +24,7 @@
 )
 from ebonyglade.forward.prefiller import Prefiller, PrefillSource
 from ebonyglade.forward.reserver import MemoryReservation, Reserver
-from ebonyglade.forward.streams import EventReader, StreamStats, log_resumed
+from ebonyglade.forward.streams import EventReader, StreamStats
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Verdict, combine_verdicts
 
@@ -196,8 +196,6 @@
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
         call.writing_since = attempts.clock()
         self.on_begun(call, reservation.endpoint)
-        if call.metadata.last_event_id:
-            log_resumed(call, reservation.endpoint)
         chunks = self._stream_events(call, reservation, events, first)
         return Ok(StreamedResponse(response.status, headers, chunks))
 
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -82,16 +82,17 @@
             workspace: the workspace.
             colliding: tokens that requests which collide may cost.
         """
-        granted = self.overage * workspace.burst + self.slack
         used = self.burst(workspace) - workspace.burst
-        return min(used, max(0.0, colliding - (granted - used)))
+        return min(used, max(0.0, colliding - self._unused(workspace)))
 
     def initial_level(self, workspace: Workspace) -> float:
         """Return the initial tokens of a bucket whose history is not known."""
+        return INITIAL_HEADROOM_SHARE * self._unused(workspace)
+
+    def _unused(self, workspace: Workspace) -> float:
+        """Return the tokens granted above the burst that a bucket does not use."""
         unused_overage = workspace.burst * (1 - USED_OVERAGE_SHARE) * self.overage
-        return INITIAL_HEADROOM_SHARE * (
-            unused_overage + (1 - USED_SLACK_SHARE) * self.slack
-        )
+        return unused_overage + (1 - USED_SLACK_SHARE) * self.slack
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/forward/resumed_streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/resumed_streams.py
@@ -1,5 +1,6 @@
 """Binds streams that callers take up to the software version that began them."""
 
+import logging
 from dataclasses import dataclass
 
 from ebonyglade.context import Context
@@ -10,6 +11,8 @@
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Refusal, refuse
 
+logger = logging.getLogger(__name__)
+
 LISTED_INTERVAL_S = 0.2  # between two looks at the versions that are listed
 
 
@@ -35,8 +38,13 @@
         self.context.every(LISTED_INTERVAL_S, self._record_listed)
 
     def record_begun(self, call: ForwardCall, endpoint: Endpoint) -> None:
-        """Tell others which version began a stream, if callers may take it up."""
-        if call.route.resumable and not call.metadata.last_event_id:
+        """Tell others which version began a stream, if callers may take it up.
+
+        A stream that was taken up is logged instead.
+        """
+        if call.metadata.last_event_id:
+            _log_taken_up(call, endpoint)
+        elif call.route.resumable:
             stream = stream_key(call.workspace_name, call.id)
             self.exchange.announce(stream, endpoint.software)
 
@@ -74,3 +82,16 @@
 
     def _record_listed(self, now: float) -> None:
         self.listed.record(self.replica.registry.endpoints.values(), now)
+
+
+def _log_taken_up(call: ForwardCall, endpoint: Endpoint) -> None:
+    logger.info(
+        "stream taken up",
+        extra={
+            "request": call.id,
+            "resumes": call.metadata.resumes,
+            "after_event": call.metadata.last_event_id,
+            "endpoint": endpoint.id,
+            "software": endpoint.software,
+        },
+    )
--- a/packages/ebonyglade/src/ebonyglade/forward/streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/streams.py
@@ -103,17 +103,3 @@
                 "unfinished_bytes": events.unfinished_bytes,
             },
         )
-
-
-def log_resumed(call: ForwardCall, endpoint: Endpoint) -> None:
-    """Log that a stream that another attempt began goes on."""
-    logger.info(
-        "stream taken up",
-        extra={
-            "request": call.id,
-            "resumes": call.metadata.resumes,
-            "after_event": call.metadata.last_event_id,
-            "endpoint": endpoint.id,
-            "software": endpoint.software,
-        },
-    )
--- a/tests/forward/test_requests_that_crash.py
+++ b/tests/forward/test_requests_that_crash.py
@@ -31,17 +31,18 @@
     assert await times_sent("before_its_head") <= MAX_SENT
 
 
-async def times_sent(point):
+async def times_sent(point, worker="decode", copies=12, pause_s=0.0):
     async with forwarding_setup() as setup:
         endpoint = CrashingEndpoint(
             setup.store,
-            setup.workers["decode"],
+            setup.workers[worker],
             lambda headers, body: body == b"bad",
             point,
         )
-        for number in range(12):
+        for number in range(copies):
             headers = {**MODEL, "X-Request-Id": f"id-{number}"}
             await ask(setup, endpoint, b"bad", **headers)
+            await asyncio.sleep(pause_s)
         assert await ask(setup, endpoint, b"good", **MODEL) == 200
         return endpoint.sent.count(b"bad")
 
@@ -49,28 +50,14 @@
 # Only a prefill that was lost before its head counted.
 @pytest.mark.parametrize("point", ["before_its_head", "after_its_head"])
 async def test_a_request_that_crashes_prefill_endpoints_is_not_sent_on(point):
-    await require_few_prefills(point, copies=12, pause_s=0.0)
+    assert await times_sent(point, "prefill") <= MAX_SENT
 
 
 # The whole answer of a decode endpoint that had prefilled the prompt itself cleared the
 # crashes of prefill endpoints, but for those within a second of the last answer.
 async def test_an_answer_without_a_prefill_clears_no_crashes_of_prefill_endpoints():
-    await require_few_prefills("after_its_head", copies=9, pause_s=1.1)
-
-
-async def require_few_prefills(point, copies, pause_s):
-    async with forwarding_setup() as setup:
-        endpoint = CrashingEndpoint(
-            setup.store,
-            setup.workers["prefill"],
-            lambda headers, body: body == b"bad",
-            point,
-        )
-        for number in range(copies):
-            headers = {**MODEL, "X-Request-Id": f"id-{number}"}
-            await ask(setup, endpoint, b"bad", **headers)
-            await asyncio.sleep(pause_s)
-        assert endpoint.sent.count(b"bad") <= MAX_SENT
+    sent = await times_sent("after_its_head", "prefill", copies=9, pause_s=1.1)
+    assert sent <= MAX_SENT
 
 
 class SlowPrefill:
