--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the review's scripts: stand-ins, clients and processes."""
