--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -107,6 +107,7 @@
     ran: bool = False
     stage: str = ""
     ended: str = ""
+    ended_at: float = 0.0
 
 
 @dataclass
@@ -241,6 +242,7 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
+            arrival.ended_at = time.monotonic()
         await self.respond(channel, head, arrival)
 
     async def respond(self, channel: Channel, head: Head, arrival: Arrival) -> None:
@@ -378,6 +380,7 @@
             self.running -= 1
             self._runs.pop(arrival.id, None)
             arrival.ended = arrival.ended or "broken off"
+            arrival.ended_at = time.monotonic()
 
     async def _write_events(
         self, channel: Channel, head: Head, arrival: Arrival
