--- a/review/lib/bookings.py
+++ b/review/lib/bookings.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from lib import http
-from lib.deployment import TROUBLE, Deployment, Record
+from lib.deployment import TROUBLE, Deployment, Record, require_served
 from lib.platform import Arrival, Identity, PlainWorker, Store, configuration, route
 
 CALM_S = 4.0  # before the disruption; StableWindowMs is 3,000
@@ -128,3 +128,4 @@
         f"answered with 200: {served} of {len(played.outcomes)}; wrong bytes sent "
         f"{FaultyWorker.wrong} times"
     )
+    require_served(served, len(played.outcomes))
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -21,6 +21,7 @@
 from lib import http
 
 ROOT = Path(__file__).resolve().parent.parent.parent
+MIN_SERVED = 0.8  # share of the requests below which a run shows nothing
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # The bounds of a small installation, as its sheet states them.
 BOUNDS = {
@@ -275,9 +276,25 @@
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
+def _end_by_signal(number: int, frame: object) -> None:
+    """End the case in order, so that its processes end too."""
+    raise KeyboardInterrupt
+
+
+def require_served(served: int, asked: int) -> None:
+    """Check that the deployment worked at all.
+
+    Raises:
+        NotRun: most requests failed, so that the case shows nothing.
+    """
+    if served < MIN_SERVED * asked:
+        raise NotRun(f"only {served} of {asked} requests were served")
+
+
 def run_case(folder: Path, case, limit_s: float = 110.0) -> int:
     """Run a case; 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, _end_by_signal)
     record.add(f"disruption {'on' if TROUBLE else 'off'}")
 
     async def limited() -> bool:
@@ -286,7 +303,7 @@
 
     try:
         broken = asyncio.run(limited())
-    except (NotRun, TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.add(f"not run: {type(error).__name__}: {error}")
         return 2
     finally:
