--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 from lib import bookings
 from lib.deployment import Record, run_case
 
-HERE = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"
 WRONG = b"wrong bytes"
 
 
@@ -44,4 +44,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(HERE, case))
+    sys.exit(run_case(RECORD, case))
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -260,10 +260,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`."""
+    """Writes what was sent, answered and run to a case's file."""
 
-    def __init__(self, folder: Path) -> None:
-        self._path = folder / "record.txt"
+    def __init__(self, path: Path) -> None:
+        self._path = path
         self._lines: list[str] = []
         self._begun = time.monotonic()
 
@@ -291,9 +291,13 @@
         raise NotRun(f"only {served} of {asked} requests were served")
 
 
-def run_case(folder: Path, case, limit_s: float = 110.0) -> int:
-    """Run a case; 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = Record(folder)
+def run_case(path: Path, case, limit_s: float = 110.0) -> int:
+    """Run a case and write its record to a file.
+
+    Returns:
+        1 if the rule was broken, 0 if it held, 2 if the case could not run.
+    """
+    record = Record(path)
     signal.signal(signal.SIGTERM, _end_by_signal)
     record.add(f"disruption {'on' if TROUBLE else 'off'}")
 
