Take no success for an answer that its endpoint has not signed

Cause: whose answer a response is was decided by its id alone. The adapter reads whether it is signed, but only limits of endpoints asked for that. Ruled out: that sound endpoints leave the signature out.

A success without a signature ends its attempt; the request may have run. It holds for plain requests and streams; prefills are answered to the entry and stay as they are.

--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/answers/__init__.py
@@ -0,0 +1,1 @@
+"""What endpoints' responses prove about the requests that they answer."""
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -11,6 +11,7 @@
 from ebonyglade.bodies import DEFAULT_LIMITS, BodyLimits, read_document
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.adapter import Adapter
+from ebonyglade.forward.answers.verdict import AnswerVerdict, judge_answer
 from ebonyglade.forward.balancing.endpoint_loads import EndpointLoads
 from ebonyglade.forward.balancing.outstanding import StartedRequest, WorkLedger
 from ebonyglade.forward.balancing.request_costs import request_work
@@ -48,6 +49,8 @@
 CONTROL_TIMEOUT_S = 0.5  # time limit of calls that run no request
 MAX_PERMIT_WAIT_S = 0.25  # longest wait for a permit, if no other endpoint is left
 MIN_PERMIT_INTERVAL_S = 0.05  # between two requests for a permit that was refused
+# The endpoint answered, but not with a whole answer to the request.
+_NO_WHOLE_ANSWER = frozenset({FailureKind.BROKEN, FailureKind.UNPROVEN})
 
 AcquirePermit = Callable[[Endpoint, float], Awaitable[Permit]]
 """Asks for a permit to send one request to an endpoint, and waits so long for it."""
@@ -294,6 +297,8 @@
         sent = await self.port.send(call, endpoint, instructions, timeout_s)
         if _is_unsent(sent) and not self.may_use(call, endpoint):
             return Err(NOT_ELIGIBLE)
+        if runs_request:
+            sent = sent.and_then(lambda response: self._judge(call, endpoint, response))
         self._record_no_limit(endpoint, sent, sent_at)
         self._record_outcome(call, endpoint, sent, runs_request, sent_at)
         return sent
@@ -369,7 +374,7 @@
             return refuse("no_endpoint" if failure is None else "endpoint_down")
         if self.remaining_s(call) <= MIN_REMAINING_S:
             return refuse("deadline_exceeded")
-        if failure is not None and failure.kind is FailureKind.BROKEN:
+        if failure is not None and failure.kind in _NO_WHOLE_ANSWER:
             return refuse("answer_broken")
         return refuse("endpoint_failed")
 
@@ -474,6 +479,26 @@
         call.verdict = combine_verdicts(call.verdict, Verdict.MAY_HAVE_RUN)
         return AttemptFailure(FailureKind.BROKEN, "unrequested content encoding")
 
+    def _judge(
+        self, call: ForwardCall, endpoint: Endpoint, response: EndpointResponse
+    ) -> Result[EndpointResponse, AttemptFailure]:
+        """Return a response that answers the request; close any other one."""
+        verdict = judge_answer(response.status, response.metadata)
+        if verdict is AnswerVerdict.ANSWER:
+            return Ok(response)
+        response.close()
+        self.count(f"responses_unproven_{verdict.value}")
+        logger.warning(
+            "response does not prove that it answers the request",
+            extra={
+                "request": call.id,
+                "endpoint": endpoint.id,
+                "status": response.status,
+                "check": verdict.value,
+            },
+        )
+        return Err(AttemptFailure(FailureKind.UNPROVEN, verdict.value))
+
     def _record_crash(self, call: ForwardCall, endpoint: Endpoint) -> None:
         """Record that an endpoint may have crashed under a request."""
         now = self.clock()
@@ -609,4 +634,5 @@
     FailureKind.LOST: AttemptSender._on_connection_lost,
     FailureKind.BROKEN: AttemptSender._on_late_or_broken,
     FailureKind.LATE: AttemptSender._on_late_or_broken,
+    FailureKind.UNPROVEN: AttemptSender._on_late_or_broken,
 }
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -123,6 +123,7 @@
     LOST = "lost"  # the connection ended without a response
     BROKEN = "broken"  # the response ended early
     LATE = "late"  # no response in time
+    UNPROVEN = "unproven"  # nothing proves that the response answers the request
 
 
 _VERDICTS = {
--- a/tests/helpers/scripted_answers.py
+++ b/tests/helpers/scripted_answers.py
@@ -30,6 +30,7 @@
             repeated until the connection is closed.
         interval_s: seconds before each part.
         status: HTTP status.
+        without: headers of the endpoint that are left out.
         sent: bytes of the body that were written.
     """
 
@@ -38,6 +39,7 @@
     end: str = "kept"
     interval_s: float = 0.0
     status: int = 200
+    without: tuple[str, ...] = ()
     sent: int = 0
 
     async def send(self, request, headers):
@@ -67,7 +69,10 @@
             Framing.CHUNKS: {"Transfer-Encoding": "chunked"},
             Framing.CONNECTION: {},
         }
-        lines = {**headers, **framing_headers[self.framing]}.items()
+        kept = {
+            name: text for name, text in headers.items() if name not in self.without
+        }
+        lines = {**kept, **framing_headers[self.framing]}.items()
         fields = "".join(f"{name}: {value}\r\n" for name, value in lines)
         return f"HTTP/1.1 {self.status} X\r\n{fields}\r\n".encode()
 
