Choose the ports of tests where no connection takes them

Cause: free_port of the tests asked the system for an ephemeral port and bound it later; meanwhile any connection of a parallel test could take it.

Ruled out: a retry of the bind, which the programs under test would have to have for the tests alone.

The lab's own free_port still asks the system; no failure of it was seen.

--- a/tests/benchmarks/answers.py
+++ b/tests/benchmarks/answers.py
@@ -25,7 +25,8 @@
 
 from ebonyglade.completeness import Framing  # noqa: E402
 from ebonyglade_entry.forwarding.settings import ForwardSettings  # noqa: E402
-from helpers.forwarding_path import MODEL, free_port, settings  # noqa: E402
+from helpers.forwarding_path import MODEL, settings  # noqa: E402
+from helpers.ports import free_port  # noqa: E402
 from helpers.scripted_answers import ScriptedAnswer  # noqa: E402
 from helpers.users_platform import (  # noqa: E402
     PlatformStore,
--- a/tests/forward/test_one_bad_input.py
+++ b/tests/forward/test_one_bad_input.py
@@ -24,9 +24,9 @@
     MODEL,
     ROUTES,
     forwarding_setup,
-    free_port,
     settings,
 )
+from helpers.ports import free_port
 from helpers.users_platform import PlatformStore, PlatformWorker, config, route
 
 NESTED_LIST = b"[" * 200_000
--- a/tests/forward/test_planned_stop.py
+++ b/tests/forward/test_planned_stop.py
@@ -15,11 +15,11 @@
 from helpers.callers import Caller
 from helpers.forwarding_path import (
     forwarding_setup,
-    free_port,
     received,
     settings,
     start_platform,
 )
+from helpers.ports import free_port
 
 CALLERS = 30
 BALANCER_DELAY_S = 0.4  # shortened, so that many stops fit into one test
--- a/tests/forward/test_restarts.py
+++ b/tests/forward/test_restarts.py
@@ -10,10 +10,10 @@
 from helpers.forwarding_path import (
     ROUTES,
     ForwardingSetup,
-    free_port,
     settings,
     start_platform,
 )
+from helpers.ports import free_port
 from helpers.users_platform import config
 
 
--- a/tests/helpers/forwarding_path.py
+++ b/tests/helpers/forwarding_path.py
@@ -1,13 +1,13 @@
 """A forwarding entry with simulated parts of the users' platform around it."""
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 
 from ebonyglade_entry.forwarding.service import ForwardingEntry
 from ebonyglade_entry.forwarding.settings import ForwardSettings
+from helpers.ports import free_port
 from helpers.users_platform import PlatformStore, PlatformWorker, config, route
 
 # Headers of a model request.
@@ -22,12 +22,6 @@
 ]
 
 
-def free_port():
-    with socket.socket() as opened:
-        opened.bind(("127.0.0.1", 0))
-        return opened.getsockname()[1]
-
-
 def settings(model, store, revoke_ms=5000, grace_s=5, **sections):
     address = f"tcp://127.0.0.1:{free_port()}"
     return model.model_validate(
