--- a/packages/ebonyglade/src/ebonyglade/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/verdict.py
@@ -146,7 +146,7 @@
             "Requests with a part of this prompt crashed endpoints.",
             60.0,
         ),
-        _row("answer_broken", 502, "The endpoint's answer ended early.", None, _MAYBE),
+        _row("answer_broken", 502, "The endpoint gave no whole answer.", None, _MAYBE),
         _row("stopping", 503, "This instance is stopping.", 0.0),
         _row("starting", 503, "This instance has no configuration yet.", 1.0),
         _row("quarantined", 422, "Earlier runs of this request crashed endpoints."),
--- a/tests/forward/answers/test_unproven_answers.py
+++ b/tests/forward/answers/test_unproven_answers.py
@@ -17,6 +17,16 @@
         )
 
 
+async def read_until_asked(setup, name):
+    """Read until an endpoint was asked; each read must be served."""
+    for number in range(40):
+        status, body, _ = await setup.ask("/read/x", body=b"%d" % number)
+        assert (status, body) == (200, b"echo %d" % number)
+        if setup.workers[name].received:
+            return
+    raise AssertionError(f"{name} was never asked")
+
+
 def runs(setup):
     """Return how many requests, prefills apart, reached endpoints."""
     return sum(
@@ -47,9 +57,34 @@
 async def test_a_read_whose_success_is_not_signed_is_answered_by_another_endpoint():
     async with forwarding_setup() as setup:
         answer_with(setup, PLAIN[:1], without=("X-Response-Signature",))
-        for number in range(4):
-            status, body, _ = await setup.ask("/read/x", body=b"%d" % number)
-            assert (status, body) == (200, b"echo %d" % number)
+        await read_until_asked(setup, PLAIN[0])
+
+
+# The request ran, and its caller would send it again. Whether the endpoint signed the
+# answer, or other bytes took its place, does not matter.
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("without", [(), ("X-Response-Signature",)])
+@pytest.mark.parametrize(
+    ("target", "names", "headers"),
+    [("/book/x", PLAIN, {}), ("/write/x", ("decode",), MODEL)],
+    ids=["booking", "stream"],
+)
+async def test_a_request_that_ran_is_not_answered_with_a_promise_that_it_did_not(
+    target, names, headers, status, without
+):
+    async with forwarding_setup() as setup:
+        answer_with(setup, names, status, without=without)
+        got, body, _ = await setup.ask(target, "POST", **headers)
+        assert (got, runs(setup)) == (502, 1)
+        assert b"may_have_run" in body
+        counter = "responses_unproven_not_stated"
+        assert setup.entry.node.metrics.counter(counter) == 1
+
+
+async def test_a_read_that_an_endpoint_fails_with_a_promise_is_answered_by_another():
+    async with forwarding_setup() as setup:
+        answer_with(setup, PLAIN[:1], 503)
+        await read_until_asked(setup, PLAIN[0])
 
 
 # Prefills are answered to the entry, not to a caller; endpoints do not sign them.
