Pass no failure on that its endpoint has not signed

The same cause as for unsigned successes, on a related path: a 400, 404 or 500 that no endpoint signed reached callers as the endpoint's own, and 400 and 404 tell them not to try again.

Change: whatever was to run and states neither a signature nor "not run" is no answer.

Before: six of 23 tests of the module failed.

--- a/packages/ebonyglade/src/ebonyglade/forward/answers/verdict.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/answers/verdict.py
@@ -24,7 +24,7 @@
     """What the headers of a response prove; the values are for logs and counters."""
 
     ANSWER = "answer"  # it is passed on
-    NOT_SIGNED = "not_signed"  # a success that no endpoint has signed
+    NOT_SIGNED = "not_signed"  # no endpoint has signed it
     NOT_STATED = (
         "not_stated"  # a status that promises "not run", without that statement
     )
@@ -39,8 +39,8 @@
         status: HTTP status of the response.
         metadata: its parsed headers.
     """
-    if 200 <= status < 300 and not metadata.signed:
-        return AnswerVerdict.NOT_SIGNED
     if status in PROMISES_NOT_RUN:
         return AnswerVerdict.NOT_STATED
+    if not metadata.signed:
+        return AnswerVerdict.NOT_SIGNED
     return AnswerVerdict.ANSWER
--- a/tests/forward/answers/test_unproven_answers.py
+++ b/tests/forward/answers/test_unproven_answers.py
@@ -54,6 +54,23 @@
         assert setup.entry.node.metrics.counter(counter) == 1
 
 
+# A caller that is told 400 or 404 does not try again.
+@pytest.mark.parametrize("status", [400, 404, 500])
+@pytest.mark.parametrize(
+    ("target", "names", "headers"),
+    [("/book/x", PLAIN, {}), ("/write/x", ("decode",), MODEL)],
+    ids=["booking", "stream"],
+)
+async def test_a_failure_that_no_endpoint_signed_is_not_passed_on_as_its_own(
+    target, names, headers, status
+):
+    async with forwarding_setup() as setup:
+        answer_with(setup, names, status, without=("X-Response-Signature",))
+        got, body, _ = await setup.ask(target, "POST", **headers)
+        assert (got, runs(setup)) == (502, 1)
+        assert b"may_have_run" in body
+
+
 async def test_a_read_whose_success_is_not_signed_is_answered_by_another_endpoint():
     async with forwarding_setup() as setup:
         answer_with(setup, PLAIN[:1], without=("X-Response-Signature",))
--- a/tests/helpers/ports.py
+++ b/tests/helpers/ports.py
@@ -4,8 +4,8 @@
 import socket
 from itertools import count
 
-# Above the ports of process fleets, and below the ephemeral ports, which a connection may
-# take between the choice of a port and its use.
+# Above the ports of process fleets and below the ephemeral ports: a connection may take
+# one of these between the choice of a port and its use.
 FIRST_PORT = 30_000
 WORKERS = 9
 PORTS_PER_WORKER = 300
