Take a response for the answer only to the request that it names

Cause: a response was believed where nothing spoke against it. An error without an id was passed on as the answer to the active request.

Change: a response answers a request only if it names the same id. A connection carries each id once and 256 requests, so that a caller that uses an id again gets no older answer. Requests and calls without an id take no connection that others have used, which they closed at their end anyway. One test reused an id on a connection to show that it is kept; it now uses two.

--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import socket
 import time
 from collections.abc import Callable
@@ -26,10 +27,13 @@
     body_of,
 )
 
+logger = logging.getLogger(__name__)
+
 # A connection is closed if sent data stays unacknowledged for this time.
 UNACKED_TIMEOUT_MS = 1500
 IDLE_TIMEOUT_S = 8.0  # idle time after which a connection is not reused
 IDLE_MARGIN_S = 0.8  # reuse ends this long before the endpoint's Keep-Alive timeout
+MAX_REQUESTS = 256  # on one connection, which holds their ids
 MAX_HEADER_LINE_BYTES = 64 * 1024
 MAX_CONTROL_BYTES = MIB  # reports and reservations have some kilobytes
 MAX_STORE_PAGE_BYTES = 16 * MIB  # a value has up to 1 MiB, a page some hundred of them
@@ -67,8 +71,9 @@
     Attributes:
         request_id: id that the response must carry; "" for calls without an id.
         may_send: called once, when the connection is open; whether to send.
-        reuse: whether another request may use the connection afterwards. It may not if
-            a late second copy of the response would match the other request, too.
+        reuse: whether the connection may be one that is open already, and another
+            request may use it afterwards. It may not if a late second copy of a
+            response would match the other request, too.
         sent: whether a byte may have been sent.
     """
 
@@ -92,19 +97,24 @@
         super().__init__(loop)
         self._id_header = id_header
         self._expected: str | None = None
+        self._answered: set[str] = set()
         self._usable_until = time.monotonic() + IDLE_TIMEOUT_S
 
     def expect(self, request_id: str) -> None:
         """Accept only the response to this request from now on."""
         self._expected = request_id
+        self._answered.add(request_id)
 
     def is_connected(self) -> bool:
         """Return whether the connection is open and may be reused.
 
-        It may not if it holds unexpected bytes or was idle for too long.
+        It may not if it holds unexpected bytes, was idle for too long, or had a request
+        with the same id, whose response may come once more.
         """
         if self._buffer or self._exception is not None:
             return False
+        if self._expected is None and self._has_answered_current():
+            return False
         if self._expected is None and time.monotonic() > self._usable_until:
             return False
         return super().is_connected()
@@ -112,20 +122,19 @@
     def feed_data(self, data: tuple, size: int = 0) -> None:
         """Pass on the response to the active request; drop others.
 
-        An error response (status 400 or above) without an id is passed on too, and
-        its connection is closed. Interim responses (1xx) are always passed on.
+        Endpoints repeat the id of a request in their response, so that one without an
+        id answers only a request without one. Interim responses (1xx) are always
+        passed on.
         """
         message, _ = data
         if 100 <= message.code < 200:
             super().feed_data(data, size)
             return
         response_id = message.headers.get(self._id_header, "")
-        if self._expected is None or response_id != self._expected:
+        if response_id != self._expected:
             self.force_close()
-            if self._expected is None or response_id:
-                return
-            if self._expected and not response_id and message.code < 400:
-                return
+            self._log_dropped(message.code, response_id)
+            return
         self._set_idle_limit(message.headers.get("Keep-Alive", ""))
         super().feed_data(data, size)
 
@@ -133,6 +142,21 @@
         """Mark the connection as idle."""
         self._expected = None
 
+    def _has_answered_current(self) -> bool:
+        attempt = _current_attempt.get()
+        used_up = len(self._answered) >= MAX_REQUESTS
+        return used_up or (attempt is not None and attempt.request_id in self._answered)
+
+    def _log_dropped(self, status: int, response_id: str) -> None:
+        logger.info(
+            "response of no active request dropped",
+            extra={
+                "status": status,
+                "response_to": response_id,
+                "active": self._expected,
+            },
+        )
+
     def _set_idle_limit(self, value: str) -> None:
         seconds = IDLE_TIMEOUT_S
         for item in value.split(","):
@@ -171,6 +195,13 @@
         handler = partial(_MatchingResponseHandler, id_header=id_header)
         super().__init__(handler, socket_factory=_open_socket, **options)
 
+    async def _get(self, key: object, traces: list) -> Connection | None:
+        """Return an open connection that the current attempt may use, if any."""
+        attempt = _current_attempt.get()
+        if attempt is None or not attempt.reuse:
+            return None
+        return await super()._get(key, traces)
+
     def _release(
         self,
         key: object,
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -50,8 +50,9 @@
         timeout_s: float,
     ) -> Result[EndpointResponse, AttemptFailure]:
         """Send a request once; return its response once the headers have arrived."""
-        # The decode that follows a prefill has the same id.
-        reuse = not instructions.prefill_only
+        # The decode that follows a prefill has the same id; without an id, any response
+        # without one would match.
+        reuse = bool(call.id) and not instructions.prefill_only
         attempt = SendAttempt(call.id, partial(call.may_send, endpoint), reuse)
         headers = self.adapter.request_headers(call.headers, instructions)
         try:
--- a/tests/forward/test_endpoint_client.py
+++ b/tests/forward/test_endpoint_client.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from itertools import count
 
 import aiohttp
 import pytest
 
 from ebonyglade.forward.types import ControlCall
 from ebonyglade_node.endpoint_client import (
+    MAX_REQUESTS,
     EndpointClient,
     NotSent,
     ProgressLimits,
@@ -85,14 +87,59 @@
 
 async def test_connection_is_reused_after_a_normal_response():
     async def serve(connection, writer):
-        writer.write(http_response("a"))
+        writer.write(http_response(next(ids)))
 
+    ids = iter("ab")
     async with endpoint(serve) as (address, client, connections):
         await ask(client, address, "a")
-        await ask(client, address, "a")
+        await ask(client, address, "b")
         assert len(connections) == 1
 
 
+async def test_connection_is_not_reused_for_an_id_that_it_had_before():
+    async def serve(connection, writer):
+        writer.write(http_response("a", b"%d" % connection))
+
+    async with endpoint(serve) as (address, client, connections):
+        assert await ask(client, address, "a") == b"1"
+        assert await ask(client, address, "a") == b"2"
+        assert len(connections) == 2
+
+
+async def test_connection_is_closed_after_many_requests():
+    async def serve(connection, writer):
+        writer.write(http_response(f"{next(numbers)}"))
+
+    numbers = count()
+    async with endpoint(serve) as (address, client, connections):
+        for number in range(MAX_REQUESTS + 1):
+            await ask(client, address, f"{number}")
+        assert len(connections) == 2
+
+
+# It was taken for the answer to a request that the endpoint ran.
+@pytest.mark.parametrize("status", [400, 429, 503])
+async def test_error_without_an_id_is_not_the_response_to_a_request_with_one(status):
+    async def serve(connection, writer):
+        head = f"HTTP/1.1 {status} X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        writer.write(head.encode() + http_response("a", b"mine"))
+
+    async with endpoint(serve) as (address, client, _):
+        assert await ask(client, address, "a") == b"mine"
+
+
+async def test_call_without_an_id_uses_no_connection_of_a_request_with_one():
+    async def serve(connection, writer):
+        served.append(connection)
+        writer.write(http_response("a") if connection == 1 else plain_response(b"x"))
+
+    served = []
+    async with endpoint(serve) as (address, client, _):
+        await ask(client, address, "a")
+        await client.call(address, ControlCall("GET", "/r"), 1.0)
+        assert served == [1, 2]
+
+
 async def test_response_without_length_that_ends_in_a_reset_is_an_error():
     async def serve(connection, writer):
         writer.write(f"HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\nhalf".encode())
--- a/tests/helpers/users_platform.py
+++ b/tests/helpers/users_platform.py
@@ -330,7 +330,9 @@
         body = await request.read()
         self.received.append((request.method, request.raw_path, request.headers, body))
         if request.headers.get("X-Target-Instance") != self.name:
-            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+            headers = {"X-Instance-Id": self.name}
+            headers["X-Request-Id"] = request.headers.get("X-Request-Id", "")
+            return web.Response(status=421, headers=headers)
         if self.failure == "not executed":
             return self._respond(request, 503, b"", {"X-Not-Executed": "1"})
         if self.failure == "reset":
