Move what is known of streams' versions into a folder of its own

stream_origins.py, origin_exchange.py and resumed_streams.py lay at the top of forward/, which has 26 files.

--- a/packages/ebonyglade/src/ebonyglade/forward/agent.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/agent.py
@@ -22,7 +22,7 @@
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.memory.grant_queue import Claim, Rank
 from ebonyglade.forward.memory.memory_admission import MemoryAdmission, PrefillLease
-from ebonyglade.forward.origin_exchange import OriginExchange
+from ebonyglade.forward.origins.origin_exchange import OriginExchange
 from ebonyglade.forward.stage_planning import (
     TO_DECODE_DELAY_S,
     TO_PREFILL_DELAY_S,
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -31,11 +31,11 @@
 from ebonyglade.forward.generation import GenerationDispatcher
 from ebonyglade.forward.members import FleetMembers, Member
 from ebonyglade.forward.memory.agent_client import AgentClient
-from ebonyglade.forward.origin_exchange import OriginExchange
+from ebonyglade.forward.origins.origin_exchange import OriginExchange
+from ebonyglade.forward.origins.resumed_streams import ResumedStreams
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rate_exchange import RateExchange
 from ebonyglade.forward.rates import FleetRates, RateTolerance
-from ebonyglade.forward.resumed_streams import ResumedStreams
 from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store import routing_table as routing_tables
 from ebonyglade.forward.store.replica_sync import ReplicaSync
--- a/packages/ebonyglade/src/ebonyglade/forward/origin_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/origin_exchange.py
@@ -11,9 +11,9 @@
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member
+from ebonyglade.forward.origins.stream_origins import ListedSoftware, StreamOrigins
 from ebonyglade.forward.pending_answers import PendingAnswers
 from ebonyglade.forward.store.store_replica import StoreReplica
-from ebonyglade.forward.stream_origins import ListedSoftware, StreamOrigins
 from ebonyglade.hashing import hexdigest
 from ebonyglade.ports import Sender
 from ebonyglade.wire.fleet import OriginAnswer, OriginQuery, QueryScope, StreamBegun
--- a/packages/ebonyglade/src/ebonyglade/forward/resumed_streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/resumed_streams.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from ebonyglade.forward.call import ForwardCall
-from ebonyglade.forward.origin_exchange import OriginExchange
+from ebonyglade.forward.origins.origin_exchange import OriginExchange
+from ebonyglade.forward.origins.stream_origins import content_key, stream_key
 from ebonyglade.forward.store.store_replica import StoreReplica
-from ebonyglade.forward.stream_origins import content_key, stream_key
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Refusal, refuse
 
--- a/tests/forward/test_stream_origins.py
+++ b/tests/forward/origins/test_stream_origins.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ebonyglade.forward.stream_origins import (
+from ebonyglade.forward.origins.stream_origins import (
     KEEP_S,
     MAX_STREAMS,
     MAX_UNSEEN_S,
--- a/tests/forward/test_streams_of_two_versions.py
+++ b/tests/forward/origins/test_streams_of_two_versions.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from ebonyglade.forward.resumed_streams import TAKE_UP_MARGIN_S
+from ebonyglade.forward.origins.resumed_streams import TAKE_UP_MARGIN_S
 from helpers.forwarding_path import MODEL, forwarding_fleet
 from helpers.restarts import fleet_of_two
 
