Hand on what is known of streams when members come or go

Cause: of the members that were told of a stream, the entries were killed and the agents had been replaced by a release two seconds before.

Change: agents and entries take turns among a stream's keepers, and whoever knows a stream tells the members that came since, or the next ones if some went. What is handed on bears its age, and whether two versions began streams of the same request.

--- a/packages/ebonyglade/src/ebonyglade/forward/origins/origin_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/origin_exchange.py
@@ -1,11 +1,13 @@
 """Where processes keep and find the software version that began a stream.
 
 Each stream that callers may take up is told to a few members, chosen by its key, so
-that it can go on when the process that began it has ended. A process that does not know
-a stream asks them.
+that it can go on when the process that began it has ended. When members come or go,
+those that know a stream tell the ones that are to keep it now. A process that does not
+know a stream asks them.
 """
 
 from dataclasses import dataclass, field
+from itertools import chain, zip_longest
 
 import msgspec
 
@@ -24,6 +26,8 @@
 RANK_BYTES = 8
 RESPONSE_TIMEOUT_S = 0.15  # a response takes a round trip of a few milliseconds
 LISTED_INTERVAL_S = 0.2  # between two looks at the versions that are listed
+HAND_ON_INTERVAL_S = 0.5  # between two looks for members that came or went
+MAX_HANDED_ON = 1000  # streams, the newest ones, at one change of members
 
 
 @dataclass(slots=True)
@@ -81,6 +85,8 @@
     listed: ListedSoftware = field(init=False)
     _pending: PendingAnswers = field(default_factory=PendingAnswers)
     _searches: dict[str, Finding] = field(default_factory=dict)
+    # Address and incarnation of the members that keep streams.
+    _told: frozenset[tuple[str, str]] = frozenset()
 
     def __post_init__(self) -> None:
         self.listed = ListedSoftware(self.context.clock())
@@ -96,6 +102,7 @@
         )
         self.context.every(FORGET_INTERVAL_S, self.origins.forget)
         self.context.every(LISTED_INTERVAL_S, self._record_listed)
+        self.context.every(HAND_ON_INTERVAL_S, self._hand_on)
 
     def announce(self, stream: str, software: str, by_content: bool = False) -> None:
         """Record that an endpoint of a version began a stream, and tell others.
@@ -172,19 +179,47 @@
         return True
 
     def _keepers(self, stream: str, now: float) -> list[Member]:
-        """Return the members that may keep a stream, in the order of choice."""
-        members = [
+        """Return the members that may keep a stream, in the order of choice.
+
+        Agents and entries take turns, so that a failure of all of one kind leaves some.
+        """
+        ranked = sorted(
+            self._members(now), key=lambda item: _rank(item.address, stream)
+        )
+        agents = [item for item in ranked if not item.entry]
+        entries = [item for item in ranked if item.entry]
+        pairs = chain.from_iterable(zip_longest(agents, entries))
+        return [item for item in pairs if item is not None]
+
+    def _members(self, now: float) -> list[Member]:
+        return [
             item
             for item in self.members.live(now)
             if item.origins and not self.members.is_represented(item)
         ]
-        return sorted(members, key=lambda item: _rank(item.address, stream))
+
+    def _hand_on(self, now: float) -> None:
+        """Tell the keepers of streams of them if members came or went since."""
+        members = self._members(now)
+        present = frozenset((item.address, item.incarnation) for item in members)
+        came = {address for address, _ in present - self._told}
+        went = bool(self._told - present)
+        self._told = present
+        if not came and not went:
+            return
+        for stream, origin in self.origins.newest(MAX_HANDED_ON):
+            begun = StreamBegun(
+                stream, origin.software, origin.by_content, now - origin.at
+            )
+            for member in self._keepers(stream, now)[:COPIES]:
+                if went or member.address in came:
+                    self.context.send(member.address, begun)
 
     def _record(self, begun: StreamBegun, now: float) -> None:
         record = (
             self.origins.record_content if begun.by_content else self.origins.record
         )
-        record(begun.stream, begun.software, now)
+        record(begun.stream, begun.software, now - begun.age_s)
 
     def _record_listed(self, now: float) -> None:
         endpoints = self.replica.registry.endpoints.values()
--- a/packages/ebonyglade/src/ebonyglade/forward/origins/stream_origins.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/stream_origins.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.hashing import hexdigest
@@ -30,26 +31,31 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Origin:
-    """The software version that began a stream, and when; None for several ones."""
+class Origin:
+    """Which software version began a stream.
+
+    Attributes:
+        software: the version; None for several, of streams with the same request.
+        at: time in seconds.
+        by_content: whether it is of all streams with the same request.
+    """
 
     software: str | None
     at: float
+    by_content: bool = False
 
 
 @dataclass(slots=True)
 class StreamOrigins:
-    """Streams that this process was told of, by key; oldest first."""
+    """Streams that this process was told of, by key; mostly the oldest first."""
 
-    _origins: dict[str, _Origin] = field(default_factory=dict)
+    _origins: dict[str, Origin] = field(default_factory=dict)
 
-    def record(self, stream: str, software: str, now: float) -> None:
+    def record(self, stream: str, software: str | None, at: float) -> None:
         """Record which version began a stream; only its first event counts."""
-        self._origins.setdefault(stream, _Origin(software, now))
-        if len(self._origins) > MAX_STREAMS:
-            del self._origins[next(iter(self._origins))]
+        self._add(stream, self._origins.get(stream, Origin(software, at)))
 
-    def record_content(self, key: str, software: str, now: float) -> None:
+    def record_content(self, key: str, software: str | None, at: float) -> None:
         """Record which version began a stream of a request.
 
         It is not known which one a caller takes up if several versions began some.
@@ -57,7 +63,18 @@
         origin = self._origins.pop(key, None)
         if origin is not None and origin.software != software:
             software = None
-        self.record(key, software, now)
+        if origin is not None:
+            at = max(at, origin.at)
+        self._add(key, Origin(software, at, by_content=True))
+
+    def newest(self, number: int) -> list[tuple[str, Origin]]:
+        """Return up to so many of the streams that were recorded last."""
+        return list(islice(reversed(self._origins.items()), number))
+
+    def _add(self, stream: str, origin: Origin) -> None:
+        self._origins[stream] = origin
+        if len(self._origins) > MAX_STREAMS:
+            del self._origins[next(iter(self._origins))]
 
     def software(self, stream: str) -> str | None:
         """Return the version that began a stream; None if it is not known."""
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -395,13 +395,16 @@
 
     Attributes:
         stream: key of the stream, see `stream_key` and `content_key`.
-        software: version of the endpoint's software.
+        software: version of the endpoint's software; None for several versions, of
+            streams with the same request.
         by_content: whether the key is that of all streams with the same request.
+        age_s: seconds since then.
     """
 
     stream: str
-    software: str
+    software: str | None
     by_content: bool = False
+    age_s: float = 0.0
 
 
 class QueryScope(Enum):
--- a/tests/forward/origins/test_stream_origins.py
+++ b/tests/forward/origins/test_stream_origins.py
@@ -147,6 +147,49 @@
     assert set(run(scenario())) == {STREAMS}
 
 
+# Nobody that was told of them is left, one kind of members after the other.
+@pytest.mark.parametrize("zones", [1, 3])
+def test_streams_are_found_after_all_members_were_replaced_one_after_the_other(zones):
+    async def scenario():
+        network, entries = start_fleet(9, zones)
+        await asyncio.sleep(JOIN_S)
+        begin_streams(entries)
+        await asyncio.sleep(0.1)
+        for number, entry in enumerate(list(entries)):
+            entry.process.kill()
+            zone, name = f"z{number % zones}", f"e{number}"
+            entries[number] = Entry(network, name, zone=zone, incarnation="2")
+            await asyncio.sleep(JOIN_S)
+        return [await known_at(entry) for entry in entries]
+
+    assert set(run(scenario())) == {STREAMS}
+
+
+def test_a_stream_is_kept_by_members_of_both_kinds():
+    async def scenario():
+        _, entries = start_fleet(9, 1)
+        await asyncio.sleep(JOIN_S)
+        exchange = entries[0].core.origin_exchange
+        now = entries[0].now
+        for item in exchange.members.live(now)[:2]:
+            item.entry = False
+        kept = [exchange._keepers(f"s{n}", now)[:3] for n in range(STREAMS)]
+        return {tuple(item.entry for item in members) for members in kept}
+
+    assert run(scenario()) == {(False, True, False)}
+
+
+def test_what_is_handed_on_is_not_kept_for_longer():
+    origins = StreamOrigins()
+    origins.record("s", "v1", 0.0)
+    origins.record_content("c", "v1", 0.0)
+    origins.record("s", "v1", 0.0)
+    origins.record_content("c", "v1", -1.0)
+    assert [item.at for _, item in origins.newest(5)] == [0.0, 0.0]
+    origins.record_content("c", None, 1.0)
+    assert origins.software("c") is None
+
+
 def test_most_streams_are_found_while_messages_are_lost():
     async def scenario():
         _, entries = start_fleet(9, 3, lose=0.1)
