Let calls without an id share a connection where they may

Cause: since a connection carries each id once, the empty id of calls that may share one counted as an id, so that each report of an engine opened its own. Ruled out: more attempts or withheld sendings, of which the log has none.

Change: only ids count. Before: the new test of three calls on one connection failed. After: it passes, and 65 of the modules around.

--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -103,7 +103,8 @@
     def expect(self, request_id: str) -> None:
         """Accept only the response to this request from now on."""
         self._expected = request_id
-        self._answered.add(request_id)
+        if request_id:
+            self._answered.add(request_id)
 
     def is_connected(self) -> bool:
         """Return whether the connection is open and may be reused.
--- a/tests/forward/test_endpoint_client.py
+++ b/tests/forward/test_endpoint_client.py
@@ -128,6 +128,17 @@
         assert await ask(client, address, "a") == b"mine"
 
 
+# Each report of an engine opened a connection.
+async def test_connection_of_calls_that_may_share_it_is_reused():
+    async def serve(connection, writer):
+        writer.write(plain_response(b"%d" % connection))
+
+    async with endpoint(serve) as (address, client, _):
+        call = ControlCall("GET", "/r")
+        bodies = [(await client.call(address, call, 1.0, True)).body for _ in range(3)]
+        assert bodies == [b"1", b"1", b"1"]
+
+
 async def test_call_without_an_id_uses_no_connection_of_a_request_with_one():
     async def serve(connection, writer):
         served.append(connection)
