Log when a retry is charged and when a request is sent once more

Callers see nothing of it. The log named a retry that was refused and nothing else, so that an uncharged repeat, a share divided by too few entries and a late arrival looked alike. No decision changes.

--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -84,6 +84,7 @@
         eligibility: decides which endpoints may get a request.
         gate: asks again immediately before a request is sent.
         work: outstanding work at endpoints and cost of requests.
+        started_at: when this process started.
     """
 
     adapter: Adapter
@@ -105,9 +106,11 @@
     eligibility: Eligibility = field(init=False)
     gate: SendGate = field(init=False)
     work: WorkLedger = field(init=False)
+    started_at: float = field(init=False)
     _background_tasks: set[asyncio.Task] = field(default_factory=set)
 
     def __post_init__(self) -> None:
+        self.started_at = self.clock()
         self.eligibility = Eligibility(self.replica, self.clock, self.regions)
         self.gate = SendGate(
             self.replica,
@@ -254,12 +257,21 @@
 
     def take_retry(self, call: ForwardCall) -> bool:
         """Take one retry from the budget; False if none is left."""
-        allowed = self.budget.take_retry(
-            call.service.name, self.clock(), self.count_entries()
-        )
-        if not allowed:
+        now, entries = self.clock(), self.count_entries()
+        fields = {
+            "request": call.id,
+            "service": call.service.name,
+            "entries": entries,
+            "running_s": round(now - self.started_at, 3),
+            **self.budget.log_fields(call.service.name, now),
+        }
+        allowed = self.budget.take_retry(call.service.name, now, entries)
+        if allowed:
+            call.charged_retries += 1
+            logger.info("retry charged", extra=fields)
+        else:
             self.count("repeats_refused")
-            logger.info("retry budget exhausted", extra={"request": call.id})
+            logger.info("retry budget exhausted", extra=fields)
         return allowed
 
     def may_use(self, call: ForwardCall, endpoint: Endpoint) -> bool:
@@ -305,6 +317,7 @@
             self.count("sendings_limited")
         if self._is_cold(endpoint):
             self.count("sendings_cold")
+        self._log_repeat(call, endpoint, instructions)
         call.endpoints.append(endpoint.id)
         sent_at = self.clock()
         sent = await self.port.send(call, endpoint, instructions, timeout_s)
@@ -522,6 +535,25 @@
         since = call.writing_since
         return since is None or now - since < BEGINNING_S
 
+    def _log_repeat(
+        self, call: ForwardCall, endpoint: Endpoint, instructions: EndpointInstructions
+    ) -> None:
+        """Log and count that a request is sent once more."""
+        sent_before = len(call.endpoints)
+        if not sent_before:
+            return
+        self.count("sendings_repeated")
+        logger.info(
+            "request sent once more",
+            extra={
+                "request": call.id,
+                "endpoint": endpoint.id,
+                "prefill": instructions.prefill_only,
+                "sent_before": sent_before,
+                "charged": call.charged_retries,
+            },
+        )
+
     def _record_outcome(
         self,
         call: ForwardCall,
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -53,6 +53,7 @@
         writing_since: when the first event of its answer arrived; None before that.
         verdict: worst verdict of all attempts so far.
         endpoints: ids of the endpoints that it was sent to, in order.
+        charged_retries: retries that were charged to the retry budget for it.
         may_send: whether it may be sent to an endpoint; checked immediately before
             each attempt is sent.
         buffers: holds the memory of the answer until it was passed on.
@@ -79,6 +80,7 @@
     writing_since: float | None = None
     verdict: Verdict = Verdict.NOT_RUN
     endpoints: list[str] = field(default_factory=list)
+    charged_retries: int = 0
     may_send: Callable[[Endpoint], bool] = field(default=lambda endpoint: True)
     buffers: BufferLease = field(default_factory=BufferLease)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/retry_budget.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/retry_budget.py
@@ -57,6 +57,14 @@
         window.retries.append(now)
         return True
 
+    def log_fields(self, service: str, now: float) -> dict[str, int]:
+        """Return the log fields that tell what a service's budget is reckoned from."""
+        window = self._window(service, now)
+        return {
+            "requests_in_window": len(window.requests),
+            "retries_in_window": len(window.retries),
+        }
+
     def _window(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
         for times in (window.requests, window.retries):
