--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
@@ -5,7 +5,7 @@
 from pydantic import Field, field_validator
 
 from ebonyglade.forward.endpoint_limits.cold_endpoints import ColdBounds
-from ebonyglade.forward.retry_budget import RetryBudgetLimits
+from ebonyglade.forward.retries.retry_budget import RetryBudgetLimits
 from ebonyglade_node.settings import (
     FleetSection,
     InstanceSection,
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -28,7 +28,7 @@
 from ebonyglade.forward.endpoint_limits.endpoint_limits import EndpointLimits
 from ebonyglade.forward.endpoint_limits.permits import FREE_PERMIT, Permit
 from ebonyglade.forward.gate.send_gate import MIN_REMAINING_S, SendGate
-from ebonyglade.forward.retry_budget import FleetRetryBudget
+from ebonyglade.forward.retries.retry_budget import FleetRetryBudget
 from ebonyglade.forward.store.store_replica import StoreReplica
 from ebonyglade.forward.types import (
     ControlCall,
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -36,7 +36,7 @@
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rate_exchange import RateExchange
 from ebonyglade.forward.rates import FleetRates, RateTolerance
-from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
+from ebonyglade.forward.retries.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store import routing_table as routing_tables
 from ebonyglade.forward.store.replica_sync import ReplicaSync
 from ebonyglade.forward.store.start_check import StartCheck
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/retries/__init__.py
@@ -0,0 +1,1 @@
+"""What repeats of requests may be sent to endpoints."""
--- a/tests/helpers/eligibility.py
+++ b/tests/helpers/eligibility.py
@@ -11,7 +11,7 @@
 from ebonyglade.forward.generation import GenerationDispatcher
 from ebonyglade.forward.memory.agent_client import AgentClient
 from ebonyglade.forward.plain import PlainDispatcher
-from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
+from ebonyglade.forward.retries.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.types import (
     ControlResponse,
     ResponseMetadata,
--- a/tests/helpers/forwarding.py
+++ b/tests/helpers/forwarding.py
@@ -7,7 +7,7 @@
 from ebonyglade.forward.attempts import AttemptSender
 from ebonyglade.forward.balancing.endpoint_loads import EndpointLoads
 from ebonyglade.forward.call import ForwardCall
-from ebonyglade.forward.retry_budget import FleetRetryBudget, RetryBudgetLimits
+from ebonyglade.forward.retries.retry_budget import FleetRetryBudget, RetryBudgetLimits
 from ebonyglade.forward.store.store_replica import StoreReplica
 from ebonyglade.forward.types import (
     Endpoint,
