Charge every arrival of a request at endpoints to the retry budget

Callers saw nothing; endpoints got repeats that nobody counted. Cause: three loops (plain requests, prefills, decodes) each charged their own later turns. A prefill that its endpoint rejected counts for the platform and was free here, and so was the run after it, the first prefill of a second turn, and a prefill anew after a choice that was dropped. Now one place, where a request is sent, counts its arrivals (retries/arrivals.py). The first one and the first accepted prefill are free, any other uses a retry taken before, or is not sent. What was not used is returned.

--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -16,6 +16,7 @@
 from ebonyglade.forward.balancing.outstanding import StartedRequest, WorkLedger
 from ebonyglade.forward.balancing.request_costs import request_work
 from ebonyglade.forward.call import (
+    NO_RETRY,
     NOT_ELIGIBLE,
     AttemptFailure,
     EndpointPort,
@@ -48,6 +49,8 @@
 CONTROL_TIMEOUT_S = 0.5  # time limit of calls that run no request
 MAX_PERMIT_WAIT_S = 0.25  # longest wait for a permit, if no other endpoint is left
 MIN_PERMIT_INTERVAL_S = 0.05  # between two requests for a permit that was refused
+# The request was not taken, though endpoints are there.
+_NOT_TAKEN = frozenset({FailureKind.REJECTED, FailureKind.NO_RETRY})
 # The endpoint answered, but not with a whole answer to the request.
 _NO_WHOLE_ANSWER = frozenset({FailureKind.BROKEN, FailureKind.UNPROVEN})
 
@@ -255,24 +258,34 @@
         """Return the seconds until the request's deadline."""
         return call.deadline - self.clock()
 
-    def take_retry(self, call: ForwardCall) -> bool:
-        """Take one retry from the budget; False if none is left."""
-        now, entries = self.clock(), self.count_entries()
-        fields = {
-            "request": call.id,
-            "service": call.service.name,
-            "entries": entries,
-            "running_s": round(now - self.started_at, 3),
-            **self.budget.log_fields(call.service.name, now),
-        }
-        allowed = self.budget.take_retry(call.service.name, now, entries)
-        if allowed:
-            call.charged_retries += 1
-            logger.info("retry charged", extra=fields)
-        else:
-            self.count("repeats_refused")
-            logger.info("retry budget exhausted", extra=fields)
-        return allowed
+    def take_retries(
+        self, call: ForwardCall, prefill: bool = False, rejection_likely: bool = False
+    ) -> bool:
+        """Take the retries that a request may use when it is sent next.
+
+        Args:
+            call: the request.
+            prefill: whether its prompt is to be prefilled.
+            rejection_likely: whether a prefill is likely to be rejected.
+
+        Returns:
+            False if the budget has too few left.
+        """
+        arrivals, service = call.arrivals, call.service.name
+        while arrivals.retries < arrivals.needed(prefill, rejection_likely):
+            now, entries = self.clock(), self.count_entries()
+            if not self.budget.take_retry(service, now, entries):
+                self.count("repeats_refused")
+                logger.info("retry budget exhausted", extra=self._budget_fields(call))
+                return False
+            arrivals.retries += 1
+        return True
+
+    def return_retries(self, call: ForwardCall, kept: int = 0) -> None:
+        """Return to the budget what a request has not used, but for some retries."""
+        while call.arrivals.retries > kept:
+            call.arrivals.retries -= 1
+            self.budget.return_retry(call.service.name)
 
     def may_use(self, call: ForwardCall, endpoint: Endpoint) -> bool:
         """Return whether a request may still be sent to an endpoint; log if not."""
@@ -312,17 +325,24 @@
         """
         if not self.may_use(call, endpoint):
             return Err(NOT_ELIGIBLE)
+        if not call.arrivals.begin():
+            return Err(NO_RETRY)
         self.count("sendings")
         if self._is_limited(endpoint):
             self.count("sendings_limited")
         if self._is_cold(endpoint):
             self.count("sendings_cold")
-        self._log_repeat(call, endpoint, instructions)
+        if call.arrivals.repeats:
+            self._log_repeat(call, endpoint, instructions)
         call.endpoints.append(endpoint.id)
         sent_at = self.clock()
         sent = await self.port.send(call, endpoint, instructions, timeout_s)
-        if _is_unsent(sent) and not self.may_use(call, endpoint):
-            return Err(NOT_ELIGIBLE)
+        if _is_unsent(sent):
+            call.arrivals.withdraw()
+            if not self.may_use(call, endpoint):
+                return Err(NOT_ELIGIBLE)
+        elif instructions.prefill_only and _is_success(sent):
+            call.arrivals.accept_prefill()
         if runs_request:
             sent = sent.and_then(lambda response: self._judge(call, endpoint, response))
         self._record_no_limit(endpoint, sent, sent_at)
@@ -381,7 +401,7 @@
             backoff_left = self.backoff_left(call)
             if backoff_left > 0:
                 return refuse("overloaded", retry_after=backoff_left)
-            if failure is not None and failure.kind is FailureKind.REJECTED:
+            if failure is not None and failure.kind in _NOT_TAKEN:
                 return refuse("overloaded")
             return refuse("no_endpoint" if failure is None else "endpoint_down")
         if self.remaining_s(call) <= MIN_REMAINING_S:
@@ -539,21 +559,28 @@
         self, call: ForwardCall, endpoint: Endpoint, instructions: EndpointInstructions
     ) -> None:
         """Log and count that a request is sent once more."""
-        sent_before = len(call.endpoints)
-        if not sent_before:
-            return
         self.count("sendings_repeated")
         logger.info(
             "request sent once more",
             extra={
-                "request": call.id,
                 "endpoint": endpoint.id,
                 "prefill": instructions.prefill_only,
-                "sent_before": sent_before,
-                "charged": call.charged_retries,
+                "repeats": call.arrivals.repeats,
+                **self._budget_fields(call),
             },
         )
 
+    def _budget_fields(self, call: ForwardCall) -> dict[str, object]:
+        """Return the log fields of what the retry budget was reckoned from."""
+        now, service = self.clock(), call.service.name
+        return {
+            "request": call.id,
+            "service": service,
+            "entries": self.count_entries(),
+            "running_s": round(now - self.started_at, 3),
+            **self.budget.log_fields(service, now),
+        }
+
     def _record_outcome(
         self,
         call: ForwardCall,
@@ -659,6 +686,10 @@
     return isinstance(sent, Err) and sent.err_value.kind is FailureKind.NOT_SENT
 
 
+def _is_success(sent: Result[EndpointResponse, AttemptFailure]) -> bool:
+    return isinstance(sent, Ok) and sent.ok_value.status == 200
+
+
 _FAILURE_HANDLERS = {
     FailureKind.NOT_SENT: AttemptSender._on_not_sent,
     FailureKind.REJECTED: AttemptSender._on_rejected,
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from ebonyglade.bodies import Body, BufferLease
+from ebonyglade.forward.retries.arrivals import RequestArrivals
 from ebonyglade.forward.types import (
     ControlCall,
     ControlResponse,
@@ -53,7 +54,7 @@
         writing_since: when the first event of its answer arrived; None before that.
         verdict: worst verdict of all attempts so far.
         endpoints: ids of the endpoints that it was sent to, in order.
-        charged_retries: retries that were charged to the retry budget for it.
+        arrivals: what of it reached endpoints, and retries taken for it.
         may_send: whether it may be sent to an endpoint; checked immediately before
             each attempt is sent.
         buffers: holds the memory of the answer until it was passed on.
@@ -80,7 +81,7 @@
     writing_since: float | None = None
     verdict: Verdict = Verdict.NOT_RUN
     endpoints: list[str] = field(default_factory=list)
-    charged_retries: int = 0
+    arrivals: RequestArrivals = field(default_factory=RequestArrivals)
     may_send: Callable[[Endpoint], bool] = field(default=lambda endpoint: True)
     buffers: BufferLease = field(default_factory=BufferLease)
 
@@ -121,6 +122,7 @@
 
     NOT_SENT = "not_sent"  # no byte was sent
     NOT_ELIGIBLE = "not_eligible"  # nothing was sent: the endpoint may not get it
+    NO_RETRY = "no_retry"  # nothing was sent: the retry budget is spent
     REJECTED = "rejected"  # the endpoint states that it did not run the request
     LOST = "lost"  # the connection ended without a response
     BROKEN = "broken"  # the response ended early
@@ -131,6 +133,7 @@
 _VERDICTS = {
     FailureKind.NOT_SENT: Verdict.NOT_RUN,
     FailureKind.NOT_ELIGIBLE: Verdict.NOT_RUN,
+    FailureKind.NO_RETRY: Verdict.NOT_RUN,
     FailureKind.REJECTED: Verdict.NOT_RUN,
 }
 
@@ -161,6 +164,7 @@
 
 
 NOT_ELIGIBLE = AttemptFailure(FailureKind.NOT_ELIGIBLE, "endpoint not eligible")
+NO_RETRY = AttemptFailure(FailureKind.NO_RETRY, "retry budget exhausted")
 
 
 @dataclass(slots=True)
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -244,7 +244,10 @@
         dispatcher = (
             self.generation_dispatcher if is_model_request else self.plain_dispatcher
         )
-        reply = await dispatcher.run(call)
+        try:
+            reply = await dispatcher.run(call)
+        finally:
+            self.attempts.return_retries(call)
         if isinstance(reply, Err) and call.verdict is Verdict.NOT_RUN:
             self._refund(call)
             if is_model_request:
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -15,6 +15,7 @@
 from ebonyglade.forward.balancing.outstanding import StartedRequest
 from ebonyglade.forward.balancing.request_costs import Outcome
 from ebonyglade.forward.call import (
+    NO_RETRY,
     NOT_ELIGIBLE,
     AttemptFailure,
     CompleteResponse,
@@ -72,7 +73,7 @@
                 break
             if self.attempts.remaining_s(call) <= MIN_REMAINING_S:
                 break
-            if tried and not self.attempts.take_retry(call):
+            if not self.attempts.take_retries(call):
                 break
             reserved = await self.reserver.reserve(call, excluded)
             if isinstance(reserved, Err):
@@ -103,6 +104,8 @@
         try:
             source = await self.prefiller.prefill(call)
             call.prefilled = source is not None
+            if not self.attempts.take_retries(call):
+                return Err(NO_RETRY)
             if source is None:
                 await self.prefiller.await_local_lease(call, reservation.endpoint)
             if not self.attempts.may_use(call, reservation.endpoint):
--- a/packages/ebonyglade/src/ebonyglade/forward/retries/retry_budget.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/retries/retry_budget.py
@@ -57,6 +57,12 @@
         window.retries.append(now)
         return True
 
+    def return_retry(self, service: str) -> None:
+        """Return a retry that was not used."""
+        window = self._windows.get(service)
+        if window is not None and window.retries:
+            window.retries.pop()
+
     def log_fields(self, service: str, now: float) -> dict[str, int]:
         """Return the log fields that tell what a service's budget is reckoned from."""
         window = self._window(service, now)
