Let one process of each zone grant the slack of the retry limit, from nothing with time

Callers saw nothing; endpoints got repeats beyond the platform's limit while entries restarted, were cut off or stood still. Cause: the slack was divided by the entries heard now (one at a start; those of zone reports, which fall in a kill), and each process began with the whole share, however much the one before it had sent. The class: a process takes what it has not learned for what is not there.

Now the slack of a zone is granted by its first entry to those that need it, evenly with time from nothing when that process begins to grant; the number of entries is the largest known within an hour, and unknown for 3 s and while nobody is heard. What comes with requests stays with each entry. Settings' first_start covers retries, too; the tests' platforms start so.

The window's test now covers own retries and the slack together, with the bound it had.

--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
@@ -26,7 +26,7 @@
         link_mbps: rate of this machine's network link; 0 if not known. In a large
             fleet, members with the most of it report for their availability zone.
         first_start: whether the whole fleet starts for the first time, so that no
-            rate tokens can have been used.
+            rate tokens or retries can have been used.
     """
 
     name: str
--- a/packages/ebonyglade/src/ebonyglade/forward/attempts.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/attempts.py
@@ -29,7 +29,7 @@
 from ebonyglade.forward.endpoint_limits.endpoint_limits import EndpointLimits
 from ebonyglade.forward.endpoint_limits.permits import FREE_PERMIT, Permit
 from ebonyglade.forward.gate.send_gate import MIN_REMAINING_S, SendGate
-from ebonyglade.forward.retries.retry_budget import FleetRetryBudget
+from ebonyglade.forward.retries.fleet_retries import FleetRetries
 from ebonyglade.forward.store.store_replica import StoreReplica
 from ebonyglade.forward.types import (
     ControlCall,
@@ -71,12 +71,11 @@
         port: sends requests and calls to endpoints.
         replica: local replica of the store with routes and endpoints.
         loads: load and failure rate of endpoints.
-        budget: retry budget.
+        retries: retries that may be sent.
         crashes: evidence of requests that crash endpoints.
         clock: seconds.
         rng: source of randomness.
         zone: this instance's availability zone.
-        count_entries: returns the number of entries in the fleet.
         count: adds to a named counter.
         limits: limits of endpoints' answers.
         endpoint_limits: limits that endpoints state.
@@ -94,12 +93,11 @@
     port: EndpointPort
     replica: StoreReplica
     loads: EndpointLoads
-    budget: FleetRetryBudget
+    retries: FleetRetries
     crashes: CrashEvidence
     clock: Clock
     rng: random.Random
     zone: str
-    count_entries: Callable[[], int]
     count: Callable[..., None]
     limits: BodyLimits = DEFAULT_LIMITS
     endpoint_limits: EndpointLimits = field(default_factory=EndpointLimits)
@@ -258,7 +256,7 @@
         """Return the seconds until the request's deadline."""
         return call.deadline - self.clock()
 
-    def take_retries(
+    async def take_retries(
         self, call: ForwardCall, prefill: bool = False, rejection_likely: bool = False
     ) -> bool:
         """Take the retries that a request may use when it is sent next.
@@ -269,23 +267,22 @@
             rejection_likely: whether a prefill is likely to be rejected.
 
         Returns:
-            False if the budget has too few left.
+            False if too few are left.
         """
-        arrivals, service = call.arrivals, call.service.name
+        arrivals = call.arrivals
         while arrivals.retries < arrivals.needed(prefill, rejection_likely):
-            now, entries = self.clock(), self.count_entries()
-            if not self.budget.take_retry(service, now, entries):
+            if not await self.retries.take(call.service.name):
                 self.count("repeats_refused")
-                logger.info("retry budget exhausted", extra=self._budget_fields(call))
+                logger.info("retry budget exhausted", extra=self._retry_fields(call))
                 return False
             arrivals.retries += 1
         return True
 
     def return_retries(self, call: ForwardCall, kept: int = 0) -> None:
-        """Return to the budget what a request has not used, but for some retries."""
+        """Return what a request has not used, but for some retries."""
         while call.arrivals.retries > kept:
             call.arrivals.retries -= 1
-            self.budget.return_retry(call.service.name)
+            self.retries.give_back(call.service.name)
 
     def may_use(self, call: ForwardCall, endpoint: Endpoint) -> bool:
         """Return whether a request may still be sent to an endpoint; log if not."""
@@ -566,19 +563,15 @@
                 "endpoint": endpoint.id,
                 "prefill": instructions.prefill_only,
                 "repeats": call.arrivals.repeats,
-                **self._budget_fields(call),
+                **self._retry_fields(call),
             },
         )
 
-    def _budget_fields(self, call: ForwardCall) -> dict[str, object]:
-        """Return the log fields of what the retry budget was reckoned from."""
-        now, service = self.clock(), call.service.name
+    def _retry_fields(self, call: ForwardCall) -> dict[str, object]:
         return {
             "request": call.id,
-            "service": service,
-            "entries": self.count_entries(),
-            "running_s": round(now - self.started_at, 3),
-            **self.budget.log_fields(service, now),
+            "running_s": round(self.clock() - self.started_at, 3),
+            **self.retries.log_fields(call.service.name),
         }
 
     def _record_outcome(
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -36,7 +36,11 @@
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.rate_exchange import RateExchange
 from ebonyglade.forward.rates import FleetRates, RateTolerance
-from ebonyglade.forward.retries.retry_budget import FleetRetryBudget, RetryBudgetLimits
+from ebonyglade.forward.retries.fleet_retries import FleetRetries
+from ebonyglade.forward.retries.known_entries import KnownEntries
+from ebonyglade.forward.retries.retry_budget import OwnRetries, RetryBudgetLimits
+from ebonyglade.forward.retries.slack import RetrySlack
+from ebonyglade.forward.retries.slack_exchange import SlackExchange
 from ebonyglade.forward.store import routing_table as routing_tables
 from ebonyglade.forward.store.replica_sync import ReplicaSync
 from ebonyglade.forward.store.start_check import StartCheck
@@ -134,6 +138,13 @@
         self.members = FleetMembers(
             context, seeds, self._compose_heartbeat, limits.capacity
         )
+        self.known_entries = KnownEntries(context.clock, alone)
+        self.slack_exchange = SlackExchange(
+            context,
+            self.members,
+            self.known_entries,
+            RetrySlack(limits.budget, limits.rates.first_start),
+        )
         self.zones = ZoneExchange(
             context,
             self.members,
@@ -163,12 +174,17 @@
             port=port,
             replica=self.replica,
             loads=self.loads,
-            budget=FleetRetryBudget(limits.budget),
+            retries=FleetRetries(
+                OwnRetries(limits.budget),
+                self.slack_exchange.take,
+                self.slack_exchange.give_back,
+                lambda: self.known_entries.number,
+                context.clock,
+            ),
             crashes=self.crashes,
             clock=context.clock,
             rng=context.rng,
             zone=context.identity.zone,
-            count_entries=self.members.entry_count,
             count=context.count,
             limits=limits.bodies,
             endpoint_limits=self.endpoint_limits,
@@ -199,6 +215,7 @@
         self.replica_sync.start()
         self.agent_client.start()
         self.rate_exchange.start()
+        self.slack_exchange.start()
         self.limit_exchange.start()
         self.load_exchange.start()
         self.origin_exchange.start()
@@ -374,8 +391,7 @@
     def _choose_service(self, call: ForwardCall) -> Refusal | None:
         refusal = self._pick_service(call, self.context.rng)
         if refusal is None:
-            name = call.service.name
-            self.attempts.budget.record_request(name, self.context.clock())
+            self.attempts.retries.record_request(call.service.name)
         return refusal
 
     def _pick_service(self, call: ForwardCall, rng: random.Random) -> Refusal | None:
@@ -453,6 +469,7 @@
             limits=self.limit_exchange.records() if complete else [],
             permits=True,
             origins=True,
+            entries=self.known_entries.counted,
             loads=self.load_exchange.records(),
         )
         if complete:
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -73,7 +73,7 @@
                 break
             if self.attempts.remaining_s(call) <= MIN_REMAINING_S:
                 break
-            if not self.attempts.take_retries(call):
+            if not await self.attempts.take_retries(call):
                 break
             reserved = await self.reserver.reserve(call, excluded)
             if isinstance(reserved, Err):
@@ -104,7 +104,7 @@
         try:
             source = await self.prefiller.prefill(call)
             call.prefilled = source is not None
-            if not self.attempts.take_retries(call):
+            if not await self.attempts.take_retries(call):
                 return Err(NO_RETRY)
             if source is None:
                 await self.prefiller.await_local_lease(call, reservation.endpoint)
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -61,6 +61,7 @@
         zoned: whether it needs no heartbeats of other zones in a large fleet.
         permits: whether it can grant permits for endpoints that state a limit.
         origins: whether it keeps which software version began a stream.
+        retries: whether it can grant retries, see `RetryRequest`.
         known_since: when its address became known.
         last_heard: time of its last heartbeat; negative infinity if none.
         last_mentioned: when it or another member last mentioned its address.
@@ -79,6 +80,7 @@
     zoned: bool = False
     permits: bool = False
     origins: bool = False
+    retries: bool = False
     known_since: float = 0.0
     last_heard: float = float("-inf")
     last_mentioned: float = 0.0
@@ -440,6 +442,7 @@
         member.entry, member.zone = heartbeat.entry, heartbeat.zone
         member.capacity, member.zoned = heartbeat.capacity, heartbeat.zoned
         member.permits, member.origins = heartbeat.permits, heartbeat.origins
+        member.retries = heartbeat.entries > 0
         read_age_s = heartbeat.store.read_age_s
         member.read_age_s = read_age_s if read_age_s >= 0 else float("inf")
         self._add_listed(heartbeat.members, now)
--- a/packages/ebonyglade/src/ebonyglade/forward/plain.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/plain.py
@@ -38,7 +38,7 @@
                 break
             if attempts.gate.refusal(call) is not None:
                 break
-            if not attempts.take_retries(call):
+            if not await attempts.take_retries(call):
                 break
             excluded.add(endpoint.id)
             may_retry = call.repeatable and possible_runs + 1 < call.route.max_attempts
--- a/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
@@ -59,7 +59,7 @@
             if endpoint is None or self.attempts.gate.refusal(call) is not None:
                 return None
             likely = self.rejected_share > LIKELY_REJECTED_SHARE
-            if not self.attempts.take_retries(call, True, likely):
+            if not await self.attempts.take_retries(call, True, likely):
                 return None
             excluded.add(endpoint.id)
             source = await self._prefill_at(call, endpoint)
--- a/packages/ebonyglade/src/ebonyglade/forward/retries/retry_budget.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/retries/retry_budget.py
@@ -1,8 +1,13 @@
-"""Retry budget shared by all entries."""
+"""The published limit on retries, and the part of it that comes with own requests."""
 
 from collections import deque
 from dataclasses import dataclass, field
 
+# Share of the limit that all entries use together. The rest covers retries that are
+# sent some time after they were taken, and what two processes grant that both hold
+# themselves for the one that does.
+USED_SHARE = 0.7
+
 
 @dataclass(frozen=True, slots=True)
 class RetryBudgetLimits:
@@ -19,11 +24,6 @@
     slack: float
 
 
-# Share of the limit that the entries use together. The rest covers the retries of
-# entries that this one does not know.
-USED_SHARE = 0.7
-
-
 @dataclass(slots=True)
 class _Window:
     requests: deque[float] = field(default_factory=deque)
@@ -31,8 +31,11 @@
 
 
 @dataclass(slots=True)
-class FleetRetryBudget:
-    """Counts requests and retries of each service at this entry."""
+class OwnRetries:
+    """Retries that come with the requests of this entry, by service.
+
+    They need no knowledge of other entries.
+    """
 
     limits: RetryBudgetLimits
     _windows: dict[str, _Window] = field(default_factory=dict)
@@ -41,35 +44,27 @@
         """Record a caller's request."""
         self._window(service, now).requests.append(now)
 
-    def take_retry(self, service: str, now: float, entries: int) -> bool:
-        """Take one retry; False if none is left.
-
-        Args:
-            service: service of the request.
-            now: seconds.
-            entries: number of entries that share the slack.
-        """
+    def take(self, service: str, now: float) -> bool:
+        """Take one retry; False if none is left."""
         window = self._window(service, now)
-        limits = self.limits
-        granted = limits.ratio * len(window.requests) + limits.slack / max(1, entries)
-        if len(window.retries) + 1 > USED_SHARE * granted:
+        granted = USED_SHARE * self.limits.ratio * len(window.requests)
+        if len(window.retries) + 1 > granted:
             return False
         window.retries.append(now)
         return True
 
-    def return_retry(self, service: str) -> None:
-        """Return a retry that was not used."""
+    def give_back(self, service: str) -> bool:
+        """Return a retry; False if none was taken lately."""
         window = self._windows.get(service)
-        if window is not None and window.retries:
-            window.retries.pop()
+        if window is None or not window.retries:
+            return False
+        window.retries.pop()
+        return True
 
-    def log_fields(self, service: str, now: float) -> dict[str, int]:
-        """Return the log fields that tell what a service's budget is reckoned from."""
+    def counts(self, service: str, now: float) -> tuple[int, int]:
+        """Return the requests and the retries taken in the window."""
         window = self._window(service, now)
-        return {
-            "requests_in_window": len(window.requests),
-            "retries_in_window": len(window.retries),
-        }
+        return len(window.requests), len(window.retries)
 
     def _window(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
--- a/packages/ebonyglade/src/ebonyglade/retry/budget.py
+++ b/packages/ebonyglade/src/ebonyglade/retry/budget.py
@@ -41,6 +41,10 @@
         self.saved -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Return a retry that was not used."""
+        self.saved = min(self.max_saved, self.saved + 1.0)
+
     def _refill(self, now: float, amount: float) -> None:
         amount += self.min_per_s * max(0.0, now - self.refilled_at)
         self.refilled_at = max(self.refilled_at, now)
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -203,6 +203,8 @@
         permits: whether the sender can grant permits, see `PermitRequest`.
         origins: whether the sender keeps streams, see `StreamBegun`.
         loads: loads that endpoints stated to the sender since its last heartbeat.
+        entries: largest number of entries that the sender counted itself lately; 0 of
+            one that grants no retries, see `RetryRequest`.
     """
 
     sent_at: float
@@ -222,6 +224,7 @@
     permits: bool = False
     origins: bool = False
     loads: list[LoadRecord] = []
+    entries: int = 0
 
 
 class EngineRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -390,6 +393,40 @@
     wait_s: float = 0.0
 
 
+class RetryRequest(Message):
+    """Asks for one retry from the slack that the receiver grants.
+
+    Attributes:
+        ask: id of this message, which the response repeats.
+        service: service of the request that is to be sent once more.
+    """
+
+    ask: str
+    service: str
+
+
+class RetryResponse(Message):
+    """Answer to a `RetryRequest`.
+
+    Attributes:
+        ask: id of the message that it answers.
+        granted: whether the retry may be sent.
+    """
+
+    ask: str
+    granted: bool
+
+
+class RetryReturned(Message):
+    """The sender has not used a retry that the receiver granted.
+
+    Attributes:
+        service: service that it was granted for.
+    """
+
+    service: str
+
+
 class StreamBegun(Message):
     """An endpoint wrote the first event of a stream that may be taken up.
 
--- a/tests/forward/eligibility/test_evacuated_zones.py
+++ b/tests/forward/eligibility/test_evacuated_zones.py
@@ -65,7 +65,7 @@
 
     async def scenario():
         sender = Sender(endpoint("a", zone="z1"), endpoint("b", zone="z2"))
-        sender.attempts.budget = no_retries()
+        sender.attempts.retries = no_retries()
         sender.port.unsent = True
 
         def evacuate(name):
@@ -125,7 +125,7 @@
             prefill("p", zone="z3"), decode("d", zone="z1"), decode("e", zone="z2")
         )
         if not retries:
-            sender.attempts.budget = no_retries()
+            sender.attempts.retries = no_retries()
         sender.port.full = {"e"}
 
         def evacuate_reserved(name):
--- a/tests/forward/eligibility/test_home_regions.py
+++ b/tests/forward/eligibility/test_home_regions.py
@@ -184,7 +184,7 @@
         sender = Sender(
             decode("d-z1", zone="z1"), decode("d-z2", zone="z2"), regions=REGIONS
         )
-        sender.attempts.budget = no_retries()
+        sender.attempts.retries = no_retries()
         sender.port.full = {"d-z1", "d-z2"}
         waiting = asyncio.ensure_future(sender.generate())
         await asyncio.sleep(0.5)
--- a/tests/forward/explanation/test_explanation.py
+++ b/tests/forward/explanation/test_explanation.py
@@ -43,7 +43,7 @@
 
 def state(sender):
     attempts = sender.attempts
-    parts = (attempts.loads, attempts.budget, attempts.crashes, attempts.work)
+    parts = (attempts.loads, attempts.retries, attempts.crashes, attempts.work)
     return (
         *(repr(part) for part in parts),
         repr(attempts.endpoint_limits.cold),
--- a/tests/forward/explanation/test_where_over_http.py
+++ b/tests/forward/explanation/test_where_over_http.py
@@ -91,11 +91,12 @@
 
 def recorded(core):
     """Return what admission and choice of a request would change."""
-    budget, rates = core.attempts.budget, core.rates
+    own, rates = core.attempts.retries.own, core.rates
     return (
         core.context.rng.getstate(),
         contents(core.loads),
-        contents(budget),
+        contents(own),
+        contents(core.slack_exchange.slack),
         contents(rates),
     )
 
--- a/tests/forward/retries/test_retries_of_a_fleet.py
+++ b/tests/forward/retries/test_retries_of_a_fleet.py
@@ -61,7 +61,6 @@
 @pytest.mark.parametrize("model", [False, True])
 @pytest.mark.parametrize(("entries", "zones"), [(6, 1), (40, 4)])
 @pytest.mark.parametrize("share", [0.8, 1.0])
-@pytest.mark.known_red
 def test_repeats_stay_within_the_budget_while_entries_restart_together(
     entries, zones, share, model
 ):
@@ -72,7 +71,6 @@
 
 # An entry that had heard of no other took the whole slack for its own.
 @pytest.mark.parametrize("model", [False, True])
-@pytest.mark.known_red
 def test_entries_that_never_heard_of_each_other_keep_the_budget_together(model):
     fleet = play(
         8, disturb=lambda fleet: fleet.cut_off(1.0), join_s=0, model=model, per_s=60.0
@@ -82,7 +80,6 @@
 
 # Entries that are silent for long are forgotten; they may still spend their share.
 @pytest.mark.parametrize(("entries", "zones"), [(8, 1), (40, 4)])
-@pytest.mark.known_red
 def test_entries_that_lose_each_other_keep_the_budget_together(entries, zones):
     async def disturb(fleet):
         fleet.cut_off(0.5)
--- a/tests/helpers/eligibility.py
+++ b/tests/helpers/eligibility.py
@@ -11,7 +11,7 @@
 from ebonyglade.forward.generation import GenerationDispatcher
 from ebonyglade.forward.memory.agent_client import AgentClient
 from ebonyglade.forward.plain import PlainDispatcher
-from ebonyglade.forward.retries.retry_budget import FleetRetryBudget, RetryBudgetLimits
+from ebonyglade.forward.retries.retry_budget import RetryBudgetLimits
 from ebonyglade.forward.types import (
     ControlResponse,
     ResponseMetadata,
@@ -20,6 +20,7 @@
 )
 from helpers.forwarding import (
     MODEL,
+    Clock,
     at,
     attempt_sender,
     context,
@@ -27,6 +28,7 @@
     evacuation,
     forward_call,
     listed,
+    local_retries,
     prompt,
 )
 
@@ -138,7 +140,7 @@
 
 
 def no_retries():
-    return FleetRetryBudget(RetryBudgetLimits(0.0, 10.0, 0.0))
+    return local_retries(RetryBudgetLimits(0.0, 10.0, 0.0), Clock())
 
 
 def prefill(name, **changes):
--- a/tests/helpers/forwarding.py
+++ b/tests/helpers/forwarding.py
@@ -7,7 +7,9 @@
 from ebonyglade.forward.attempts import AttemptSender
 from ebonyglade.forward.balancing.endpoint_loads import EndpointLoads
 from ebonyglade.forward.call import ForwardCall
-from ebonyglade.forward.retries.retry_budget import FleetRetryBudget, RetryBudgetLimits
+from ebonyglade.forward.retries.fleet_retries import FleetRetries
+from ebonyglade.forward.retries.retry_budget import OwnRetries, RetryBudgetLimits
+from ebonyglade.forward.retries.slack import RetrySlack
 from ebonyglade.forward.store.store_replica import StoreReplica
 from ebonyglade.forward.types import (
     Endpoint,
@@ -110,6 +112,17 @@
     return StoreReplica(adapter, clock, AuditTrail(clock))
 
 
+def local_retries(limits, clock):
+    """Return the retries of a fleet of one entry that starts for the first time."""
+    slack = RetrySlack(limits, first_start=True)
+    slack.set_share(1.0, clock())
+
+    async def take(service):
+        return slack.take(service, clock())
+
+    return FleetRetries(OwnRetries(limits), take, slack.give_back, lambda: 1, clock)
+
+
 def attempt_sender(port, clock, *endpoints, regions=None):
     """Return a `AttemptSender` whose replica of the store lists the given endpoints."""
     replica = store_replica(clock)
@@ -120,12 +133,11 @@
         port=port,
         replica=replica,
         loads=EndpointLoads(),
-        budget=FleetRetryBudget(RetryBudgetLimits(0.2, 10.0, 50.0)),
+        retries=local_retries(RetryBudgetLimits(0.2, 10.0, 50.0), clock),
         crashes=CrashEvidence(),
         clock=clock,
         rng=random.Random(3),
         zone="z",
-        count_entries=lambda: 1,
         count=lambda name, by=1: None,
         regions=regions or {},
     )
--- a/tests/helpers/forwarding_path.py
+++ b/tests/helpers/forwarding_path.py
@@ -22,11 +22,16 @@
 ]
 
 
-def settings(model, store, revoke_ms=5000, grace_s=5, **sections):
-    address = f"tcp://127.0.0.1:{free_port()}"
+def settings(model, store, revoke_ms=5000, grace_s=5, first_start=False, **sections):
+    instance = {
+        "name": "n",
+        "address": f"tcp://127.0.0.1:{free_port()}",
+        "zone": "z1",
+        "first_start": first_start,
+    }
     return model.model_validate(
         {
-            "instance": {"name": "n", "address": address, "zone": "z1"},
+            "instance": instance,
             "store": {
                 "address": f"127.0.0.1:{store.port}",
                 "adapter": "ebonyglade_platform",
@@ -118,7 +123,9 @@
             "ready": f"127.0.0.1:{ready}",
             "metrics_port": free_port(),
         }
-        loaded = settings(ForwardSettings, store, revoke_ms, grace_s, listen=listen)
+        loaded = settings(
+            ForwardSettings, store, revoke_ms, grace_s, True, listen=listen
+        )
         entry = ForwardingEntry(loaded)
         await stack.enter_async_context(entry)
         session = await stack.enter_async_context(aiohttp.ClientSession())
@@ -150,6 +157,7 @@
                 "name": f"n{number}",
                 "address": f"tcp://{ip}:{port}",
                 "zone": "z1",
+                "first_start": True,
             }
             listen = {"callers": f"{ip}:{callers}", "ready": f"{ip}:{ready}"}
             entry = ForwardingEntry(
--- a/tests/helpers/retry_fleet.py
+++ b/tests/helpers/retry_fleet.py
@@ -12,7 +12,14 @@
 from ebonyglade.bodies import Body
 from ebonyglade.completeness import Framing
 from ebonyglade.forward.call import AttemptFailure, EndpointResponse, FailureKind
-from ebonyglade.forward.types import ControlResponse, ResponseMetadata, Share, Stage
+from ebonyglade.forward.rates import RateTolerance
+from ebonyglade.forward.types import (
+    ControlResponse,
+    ResponseMetadata,
+    Share,
+    Stage,
+    Workspace,
+)
 from ebonyglade_lab.virtual.network import Network
 from helpers.entries import PROMPT, Entry
 from helpers.forwarding import decode, endpoint, listed
@@ -115,24 +122,26 @@
         self._documents = [listed(item, 10 + n) for n, item in enumerate(items)]
         self._names = [f"e{n}" for n in range(entries)]
         self.entries = {}
-        self.start(self._names)
+        self.start(self._names, first_start=True)
 
     @property
     def now(self):
         return asyncio.get_running_loop().time()
 
-    def start(self, names):
+    def start(self, names, first_start=False):
         """Start processes, each in place of the one of its name."""
         service = "model" if self._model else "desk"
         for name in names:
             self.entries[name] = Entry(
                 self.network,
                 name,
+                RateTolerance(first_start=first_start),
                 zone=f"z{int(name[1:]) % self._zones}",
                 incarnation=f"i{next(self._ids)}",
                 port=self._port,
                 shares=(Share(service, 1.0),),
                 documents=self._documents,
+                workspace=Workspace("w", ("key",)),
             )
 
     def kill(self, share):
