Join no stream with another version at an entry that was out of step

A report of another operator: streams of a version that had just joined were taken up at an entry that was cut off or stood still and went on at another version (ORDER). It could happen here. Cause: a list of endpoints that was confirmed less than 3 s ago counted as complete up to now, although a version may join in that time; an entry that woke answered from before its pause until its next look. Every process now says from when and until when it missed no version, and the one version listed is taken only if that covers the time up to the call's arrival. The last seconds are waited for until the list is confirmed; else stream_unknown.

--- a/packages/ebonyglade/src/ebonyglade/forward/origins/origin_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/origin_exchange.py
@@ -13,7 +13,12 @@
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member
-from ebonyglade.forward.origins.stream_origins import ListedSoftware, StreamOrigins
+from ebonyglade.forward.origins.stream_origins import (
+    Coverage,
+    ListedSoftware,
+    StreamOrigins,
+    covered_until,
+)
 from ebonyglade.forward.pending_answers import PendingAnswers
 from ebonyglade.forward.store.store_replica import StoreReplica
 from ebonyglade.hashing import hexdigest
@@ -36,15 +41,19 @@
 
     Attributes:
         software: version that began it; None if nobody knows.
-        listed: versions that its service was listed with lately.
-        complete: whether any process saw all of them.
+        since: time in seconds after which the stream began.
+        until: time in seconds before which it began.
+        listed: versions that its service was listed with since then.
+        coverages: times in which this process and others missed no version.
         unanswered: members that have not answered yet. Those of other zones answer only
             if they know the stream.
     """
 
     software: str | None = None
+    since: float = 0.0
+    until: float = 0.0
     listed: set[str] = field(default_factory=set)
-    complete: bool = False
+    coverages: list[Coverage] = field(default_factory=list)
     unanswered: int = 0
 
     @property
@@ -54,16 +63,23 @@
             return self.software
         return next(iter(self.listed)) if self._is_proven else None
 
+    @property
+    def uncovered_s(self) -> float:
+        """Seconds before `until` in which a version may have been missed."""
+        return max(0.0, self.until - covered_until(self.coverages, self.since))
+
     @property
     def _is_proven(self) -> bool:
-        return self.complete and len(self.listed) == 1
+        return self.uncovered_s == 0 and len(self.listed) == 1
 
-    def add(self, answer: OriginAnswer) -> None:
-        """Add what a member knows."""
+    def add(self, answer: OriginAnswer, now: float) -> None:
+        """Add what a member knows, which it said at a time."""
         self.unanswered -= 1
         self.software = self.software if answer.software is None else answer.software
         self.listed.update(answer.listed)
-        self.complete = self.complete or answer.complete
+        if answer.covered is not None:
+            since_s, until_s = answer.covered
+            self.coverages.append(Coverage(now - since_s, now - until_s))
 
 
 @dataclass(slots=True)
@@ -119,26 +135,33 @@
             self.context.send(member.address, begun)
 
     async def find(
-        self, stream: str, service: str = "", lately_s: float = 0.0
+        self, stream: str, service: str = "", since: float = 0.0, until: float = 0.0
     ) -> Finding:
         """Return what is known of a stream.
 
         Args:
             stream: key of the stream.
             service: name of its service.
-            lately_s: seconds within which it began.
+            since: time in seconds after which it began.
+            until: time in seconds before which it began.
         """
         now = self.context.clock()
+        self._record_listed(now)
         known = self.origins.software(stream)
-        finding = Finding(
-            known,
-            self.listed.versions(service, now - lately_s),
-            self.listed.is_complete(now - lately_s),
-        )
+        finding = Finding(known, since, until)
+        finding.listed |= self.listed.versions(service, since)
+        finding.coverages.append(self._coverage(now))
         if known is None:
-            await self._ask_members(stream, service, lately_s, finding)
+            await self._ask_members(stream, service, now - since, finding)
         return finding
 
+    def is_confirmed_since(self, at: float) -> bool:
+        """Return whether the replica of the store was confirmed after some time."""
+        return self._coverage(self.context.clock()).until >= at
+
+    def _coverage(self, now: float) -> Coverage:
+        return self.listed.coverage(now, self.replica.age(now))
+
     async def _ask_members(
         self, stream: str, service: str, lately_s: float, finding: Finding
     ) -> None:
@@ -232,11 +255,13 @@
         software = self.origins.software(message.stream)
         now = self.context.clock()
         if software is not None or message.scope is QueryScope.MEMBER:
+            self._record_listed(now)
             since = now - message.lately_s
             listed = sorted(self.listed.versions(message.service, since))
-            complete = self.listed.is_complete(since)
+            seen = self._coverage(now)
+            covered = (now - seen.since, now - seen.until)
             self.context.transport.set_address(message.asker, message.asker)
-            answer = OriginAnswer(message.ask, software, listed, complete)
+            answer = OriginAnswer(message.ask, software, listed, covered=covered)
             self.context.send(message.asker, answer)
         elif message.scope is QueryScope.ZONE:
             query = msgspec.structs.replace(message, scope=QueryScope.RELAYED)
@@ -247,7 +272,7 @@
         finding = self._searches.get(message.ask)
         if finding is None:
             return
-        finding.add(message)
+        finding.add(message, self.context.clock())
         if finding.software is not None or finding.unanswered == 0:
             self._pending.resolve(message.ask, message)
 
--- a/packages/ebonyglade/src/ebonyglade/forward/origins/resumed_streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/resumed_streams.py
@@ -1,11 +1,16 @@
 """Binds streams that callers take up to the software version that began them."""
 
+import asyncio
 import logging
 from dataclasses import dataclass
 
 from ebonyglade.forward.call import ForwardCall
-from ebonyglade.forward.origins.origin_exchange import OriginExchange
-from ebonyglade.forward.origins.stream_origins import content_key, stream_key
+from ebonyglade.forward.origins.origin_exchange import Finding, OriginExchange
+from ebonyglade.forward.origins.stream_origins import (
+    MAX_UNSEEN_S,
+    content_key,
+    stream_key,
+)
 from ebonyglade.forward.store.store_replica import StoreReplica
 from ebonyglade.forward.types import Endpoint
 from ebonyglade.verdict import Refusal, refuse
@@ -14,6 +19,7 @@
 
 # A caller gives up when its route does; this covers the way to the entry and back.
 TAKE_UP_MARGIN_S = 2.0
+CONFIRMED_POLL_S = 0.05  # between two looks whether the store has confirmed the list
 
 
 @dataclass(slots=True)
@@ -70,8 +76,11 @@
             if resumes
             else content_key(call.fingerprint)
         )
-        lately_s = call.route.timeout_s + TAKE_UP_MARGIN_S
-        finding = await self.exchange.find(stream, call.service.name, lately_s)
+        finding = await self._find(call, stream)
+        # A version that was listed just now is known once the store was asked again.
+        if finding.software is None and 0 < finding.uncovered_s <= MAX_UNSEEN_S:
+            await self._wait_until_confirmed(call)
+            finding = await self._find(call, stream)
         logger.info(
             "version of a stream looked up",
             extra={
@@ -79,11 +88,28 @@
                 "resumes": resumes,
                 "known": finding.software,
                 "listed": ",".join(sorted(finding.listed)),
-                "complete": finding.complete,
+                "uncovered": round(finding.uncovered_s, 3),
             },
         )
         return finding.only_version
 
+    async def _find(self, call: ForwardCall, stream: str) -> Finding:
+        """Return what is known of a stream that began before a call arrived."""
+        lately_s = call.route.timeout_s + TAKE_UP_MARGIN_S
+        until = call.arrived_at
+        return await self.exchange.find(
+            stream, call.service.name, until - lately_s, until
+        )
+
+    async def _wait_until_confirmed(self, call: ForwardCall) -> None:
+        """Wait until the list of endpoints is known as it was when a call arrived."""
+        clock = self.exchange.context.clock
+        give_up_at = min(clock() + MAX_UNSEEN_S, call.deadline)
+        while not self.exchange.is_confirmed_since(call.arrived_at):
+            if clock() >= give_up_at:
+                return
+            await asyncio.sleep(CONFIRMED_POLL_S)
+
 
 def _log_taken_up(call: ForwardCall, endpoint: Endpoint) -> None:
     logger.info(
--- a/packages/ebonyglade/src/ebonyglade/forward/origins/stream_origins.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/origins/stream_origins.py
@@ -89,6 +89,26 @@
             del self._origins[stream]
 
 
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """Time, in seconds, in which a process missed no version that was listed."""
+
+    since: float
+    until: float
+
+
+def covered_until(coverages: Iterable[Coverage], since: float) -> float:
+    """Return until when some processes together missed no version since some time.
+
+    The result is `since` if none of them had seen all versions by then.
+    """
+    until = since
+    for coverage in sorted(coverages, key=lambda item: item.since):
+        if coverage.since <= until:
+            until = max(until, coverage.until)
+    return until
+
+
 @dataclass(slots=True)
 class ListedSoftware:
     """Software versions that the endpoints of each service ran lately.
@@ -131,6 +151,14 @@
             if name == service and at >= since
         }
 
-    def is_complete(self, since: float) -> bool:
-        """Return whether no version that was listed since some time was missed."""
-        return self.complete_since <= since
+    def coverage(self, now: float, age_s: float) -> Coverage:
+        """Return the time in which no version was missed.
+
+        It ends when the replica was confirmed last: a version that was listed since is
+        not known here.
+
+        Args:
+            now: time in seconds.
+            age_s: seconds since the replica was confirmed.
+        """
+        return Coverage(self.complete_since, now - age_s)
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -479,13 +479,16 @@
         ask: id of the search.
         software: version that began the stream; None if the sender does not know.
         listed: versions that the service was listed with within the time asked for.
-        complete: whether the sender saw all of them.
+        complete: not used any more; older builds send it.
+        covered: seconds ago from which and until which the sender missed none of them;
+            None if it does not say.
     """
 
     ask: str
     software: str | None = None
     listed: list[str] = []
     complete: bool = False
+    covered: tuple[float, float] | None = None
 
 
 class MemoryRequest(Message, tag="RoomAsk"):
--- a/tests/forward/origins/test_stream_origins.py
+++ b/tests/forward/origins/test_stream_origins.py
@@ -9,8 +9,10 @@
     KEEP_S,
     MAX_STREAMS,
     MAX_UNSEEN_S,
+    Coverage,
     ListedSoftware,
     StreamOrigins,
+    covered_until,
     stream_key,
 )
 from ebonyglade_lab.virtual.loop import run
@@ -63,16 +65,24 @@
 # A process that was frozen, or cut off from the store, may have missed a version.
 def test_versions_are_known_completely_only_while_the_store_is_seen():
     listed = ListedSoftware(complete_since=10.0)
-    assert not listed.is_complete(since=9.0)
     for now in (10.0, 12.0, 14.0):
         listed.record([], now)
-    assert listed.is_complete(since=10.0)
+    assert listed.coverage(14.0, age_s=0.5) == Coverage(10.0, 13.5)
     listed.record([], 16.0, age_s=MAX_UNSEEN_S + 0.1)
-    assert not listed.is_complete(since=14.0)
+    assert listed.coverage(16.0, age_s=0.0) == Coverage(16.0, 16.0)
     listed.record([], 18.0)
-    assert listed.is_complete(since=16.0)
+    assert listed.coverage(18.0, age_s=0.0) == Coverage(16.0, 18.0)
     listed.record([], 18.1 + MAX_UNSEEN_S)
-    assert not listed.is_complete(since=20.0)
+    assert listed.coverage(22.0, age_s=0.0).since == 18.1 + MAX_UNSEEN_S
+
+
+def test_processes_cover_a_time_together_only_without_a_gap():
+    early, late = Coverage(0.0, 6.0), Coverage(5.0, 9.0)
+    assert covered_until([late, early], since=1.0) == 9.0
+    assert covered_until([early], since=1.0) == 6.0
+    assert covered_until([late], since=1.0) == 1.0
+    assert covered_until([early, Coverage(7.0, 9.0)], since=1.0) == 6.0
+    assert covered_until([], since=1.0) == 1.0
 
 
 def test_streams_of_one_request_have_no_version_if_two_versions_began_some():
--- a/tests/forward/origins/test_streams_of_two_versions.py
+++ b/tests/forward/origins/test_streams_of_two_versions.py
@@ -162,7 +162,7 @@
 def has_seen_all_versions(setup):
     core = setup.entry.entry
     listed = core.origin_exchange.listed
-    return listed.is_complete(core.context.clock() - LATELY_S)
+    return listed.complete_since <= core.context.clock() - LATELY_S
 
 
 def is_refused_with(answer, code):
