--- a/tests/helpers/raw_endpoints.py
+++ b/tests/helpers/raw_endpoints.py
@@ -25,7 +25,8 @@
     Attributes:
         name: its id and signature.
         respond: called with this endpoint, the request and its connection's state;
-            "close" in it closes the connection, and it is closed if "ended" is set.
+            "close" in it closes the connection, which "ended" does after an answer;
+            "transport" is its transport.
         runs: ids of the requests that it ran, in order.
         connections: how many were opened.
     """
@@ -38,7 +39,7 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
-        state = {"close": writer.close}
+        state = {"close": writer.close, "transport": writer.transport}
         try:
             while True:
                 request = await read_request(reader)
