Add no tokens at an entry that has started and hears no other one

Its buckets now begin with half of the unused headroom, as after a restart, and get no tokens before another entry is heard; after 30 s, when silent members are forgotten, the ones named count as gone. A first start begins with the whole burst once another entry is heard.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -127,7 +127,10 @@
         self.replica_sync = ReplicaSync(context, self.replica)
         alone = not set(seeds) - {context.identity.instance}
         self._start_check = StartCheck(context.clock(), alone)
-        self.rates = FleetRates(limits.rates, context.clock(), self._workspace)
+        now = context.clock()
+        self.rates = FleetRates(
+            limits.rates, now, self._workspace, joined_at=now if alone else None
+        )
         self.crashes = CrashEvidence()
         self.evidence_exchange = EvidenceExchange(
             self.crashes, context.identity.instance
--- a/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
@@ -73,6 +73,7 @@
         if not heartbeat.entry or self.members.is_represented(member):
             return
         now = self.context.clock()
+        self.rates.record_joined(now)
         self.rates.apply_totals(
             member.address,
             member.incarnation,
@@ -84,6 +85,8 @@
             self.context.send(member.address, RateLevelsRequest())
 
     def _on_zone_report(self, report: ZoneReport, at: float) -> None:
+        if report.entries:
+            self.rates.record_joined(self.context.clock())
         self.rates.apply_zone(
             report.zone,
             f"{report.reporter} {report.incarnation}",
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -9,7 +9,9 @@
 buckets. Until it knows them, or if all entries have restarted, its buckets begin
 with `INITIAL_HEADROOM_SHARE` of the tolerance that they do not use, because tokens
 that the previous process of this instance admitted count in the same window, and
-possibly no process knows of them any more.
+possibly no process knows of them any more. No tokens are added before it hears
+another entry if its settings name any: it may be cut off from all others, which use
+the whole rate meanwhile.
 
 An entry that fell silent may have ended, or may still serve on the other side of a
 network partition. Until it is forgotten or known to have ended, it counts as
@@ -33,6 +35,8 @@
 # After this time without a response the levels are not requested any more: a bucket
 # that was kept this long is right whatever its initial level was.
 LEVELS_WAIT_S = 10.0
+# The members that the settings name count as gone after this time without any entry.
+JOIN_WAIT_S = 30.0
 # Reporters of a zone whose offsets are kept. Two report at a time, and each restart of
 # one counts as another.
 MAX_REPORTERS = 8
@@ -157,11 +161,14 @@
         limits: allowance above rates and bursts.
         started_at: when this process started.
         find_workspace: returns a workspace by its name; None if there is none.
+        joined_at: when another entry was heard, or this process began to count as the
+            only one; None before that.
     """
 
     limits: RateTolerance = RateTolerance()
     started_at: float = 0.0
     find_workspace: Callable[[str], Workspace | None] = _no_workspace
+    joined_at: float | None = 0.0
     _adopted: bool = False
     _requested_at: float = float("-inf")
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
@@ -196,6 +203,17 @@
             or now - self.started_at > LEVELS_WAIT_S
         )
 
+    def record_joined(self, now: float) -> None:
+        """Record that another entry was heard; tokens are added from now on."""
+        if self.joined_at is not None:
+            return
+        self.joined_at = now
+        for name, bucket in self._buckets.items():
+            workspace = self.find_workspace(name)
+            if self.limits.first_start and workspace is not None:
+                initial = self.limits.initial_level(workspace)
+                bucket.level += self.limits.burst(workspace) - initial
+
     def should_request_levels(self, now: float) -> bool:
         """Return whether to request another entry's levels now; records the request."""
         if (
@@ -439,19 +457,27 @@
     def _new_bucket(self, workspace: Workspace, now: float) -> _Bucket:
         """Return a bucket from which nothing was spent since this process started."""
         rate, burst = self.limits.rate(workspace), self.limits.burst(workspace)
+        initial = self.limits.initial_level(workspace)
+        if self.joined_at is None:
+            return _Bucket(initial, now)
         if self.limits.first_start or self._adopted:
             return _Bucket(burst, now)
-        since = max(0.0, now - self.started_at)
-        return _Bucket(
-            min(burst, self.limits.initial_level(workspace) + rate * since), now
-        )
+        return _Bucket(min(burst, initial + rate * self._joined_s(0.0, now)), now)
+
+    def _joined_s(self, since: float, now: float) -> float:
+        """Return the seconds since some time in which tokens are added."""
+        if self.joined_at is None and now - self.started_at > JOIN_WAIT_S:
+            self.record_joined(now)
+        if self.joined_at is None:
+            return 0.0
+        return max(0.0, now - max(since, self.started_at, self.joined_at))
 
     def _bucket(self, workspace: Workspace, now: float) -> _Bucket:
         rate, burst = self.limits.rate(workspace), self.limits.burst(workspace)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = self._buckets[workspace.name] = self._new_bucket(workspace, now)
-        elapsed = max(0.0, now - bucket.at)
+        elapsed = self._joined_s(bucket.at, now)
         bucket.at = now
         entries = 1 + sum(other.entries for other in self._others.values())
         left = max(0.0, bucket.level)
--- a/tests/forward/test_rates_of_a_fleet.py
+++ b/tests/forward/test_rates_of_a_fleet.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
-from ebonyglade.forward.rates import FleetRates, RateTolerance
+from ebonyglade.forward.rates import JOIN_WAIT_S, FleetRates, RateTolerance
 from ebonyglade.forward.types import PromptSize, Workspace
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
@@ -91,3 +92,67 @@
     while rates.take(WORKSPACE, 20_000.0, 0.0) == 0.0:
         admitted += 20_000.0
     assert admitted >= TOLERANCE.burst(WORKSPACE) - 2 * 20_000.0
+
+
+REQUESTS = Workspace("w", ("key",), rate=10.0, burst=20.0, counts_tokens=False)
+
+
+async def ask_all(entries, seconds, per_s):
+    """Ask each entry at a rate; return the times of what was admitted."""
+    admitted, rng = [], random.Random(5)
+    until = entries[0].now + seconds
+    while entries[0].now < until:
+        entry = rng.choice(entries)
+        call = entry.plain_call(f"id-{len(admitted)}", 2.0)
+        if entry.core.admit(call) is None:
+            admitted.append((entry.now, 1))
+        await asyncio.sleep(rng.expovariate(per_s))
+    return admitted
+
+
+# An entry that heard of no other took the whole rate for its own, in each life.
+@pytest.mark.parametrize("first_start", [True, False])
+@pytest.mark.parametrize("lives", [1, 3])
+def test_entries_that_never_heard_of_each_other_keep_the_rate_together(
+    first_start, lives
+):
+    tolerance = RateTolerance(overage=0.25, slack=20.0, first_start=first_start)
+
+    async def scenario():
+        network, names = Network(random.Random(1)), [f"e{n}" for n in range(1, 9)]
+        network.faults.partitioned = {
+            frozenset((one, other))
+            for one in names
+            for other in ["e0", *names]
+            if one != other
+        }
+        admitted = []
+        for life in range(lives):
+            limits = replace(tolerance, first_start=first_start and not life)
+            entries = [
+                Entry(network, name, limits, incarnation=f"{life}", workspace=REQUESTS)
+                for name in names
+            ]
+            admitted += await ask_all(entries, WINDOW_S / lives, 100.0)
+            for entry in entries:
+                entry.process.kill()
+        return admitted
+
+    owed = REQUESTS.rate * WINDOW_S + REQUESTS.burst
+    assert len(run(scenario())) <= owed * 1.25 + 20.0
+
+
+# What an entry may use alone is known once the others count as gone.
+def test_an_entry_that_hears_no_other_for_long_admits_the_whole_rate():
+    rates = FleetRates(RateTolerance(), 0.0, lambda name: REQUESTS, joined_at=None)
+    assert rates.take(REQUESTS, 1.0, 5.0) > 0
+    assert rates.take(REQUESTS, 1.0, JOIN_WAIT_S + 1.0) > 0
+    assert rates.take(REQUESTS, 1.0, JOIN_WAIT_S + 2.0) == 0
+
+
+def test_an_entry_that_hears_another_one_soon_begins_with_the_whole_burst():
+    tolerance = RateTolerance(first_start=True)
+    rates = FleetRates(tolerance, 0.0, lambda name: REQUESTS, joined_at=None)
+    assert rates.take(REQUESTS, 1.0, 0.1) > 0
+    rates.record_joined(0.2)
+    assert all(rates.take(REQUESTS, 1.0, 0.3) == 0 for _ in range(20))
