Release what a stream holds, also if its caller left before the first event

A generator that is closed before it was started runs nothing, so that the response of the endpoint stayed open, and the entry's counts of work and memory there stayed too high for good. The release is now a stack of its own, closed at the end in any case; the new test failed before.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -296,6 +296,7 @@
             await response.write_eof()
         finally:
             await reply.chunks.aclose()
+            reply.release()
         return response
 
     async def _write_large_body(
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -204,11 +204,14 @@
         status: HTTP status.
         headers: for the caller.
         chunks: complete events; raises `IncompleteResponse` if the stream ends early.
+        release: releases what the response holds; must be called at its end, also if
+            its chunks were never read. Further calls do nothing.
     """
 
     status: int
     headers: Headers
     chunks: AsyncIterator[bytes]
+    release: Callable[[], None] = lambda: None
 
 
 Reply = Result[CompleteResponse | StreamedResponse, Refusal]
--- a/packages/ebonyglade/src/ebonyglade/forward/generation.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/generation.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
@@ -218,8 +219,17 @@
         call.verdict = combine_verdicts(call.verdict, Verdict.RAN)
         call.writing_since = attempts.clock()
         self.on_begun(call, reservation.endpoint)
-        chunks = self._stream_events(call, reservation, events, first, started)
-        return Ok(StreamedResponse(response.status, headers, chunks))
+        stats = StreamStats(attempts.clock(), attempts.clock())
+        held = ExitStack()
+        held.callback(stats.log, call, reservation.endpoint, events)
+        held.callback(self._finish, call, reservation, started)
+        held.callback(call.buffers.release)
+        held.callback(response.close)
+        chunks = self._stream_events(
+            call, reservation, events, first, stats, started, held
+        )
+        # A generator that was never started does not release anything by itself.
+        return Ok(StreamedResponse(response.status, headers, chunks, held.close))
 
     async def _stream_events(
         self,
@@ -227,14 +237,14 @@
         reservation: MemoryReservation,
         events: EventReader,
         first: bytes,
+        stats: StreamStats,
         started: StartedRequest,
+        held: ExitStack,
     ) -> AsyncIterator[bytes]:
-        clock = self.attempts.clock
-        stats = StreamStats(clock(), clock())
         try:
             yield first
             while complete_events := await self._next_events(call, events):
-                stats.record_events(clock())
+                stats.record_events(self.attempts.clock())
                 yield complete_events
             stats.complete = True
             started.record_response(events.response.status)
@@ -246,10 +256,7 @@
                 )
             raise
         finally:
-            events.response.close()
-            call.buffers.release()
-            self._finish(call, reservation, started)
-            stats.log(call, reservation.endpoint, events)
+            held.close()
 
     async def _next_events(self, call: ForwardCall, events: EventReader) -> bytes:
         """Return the next events; empty at the end of a complete stream.
--- a/tests/forward/test_dispatch.py
+++ b/tests/forward/test_dispatch.py
@@ -261,6 +261,37 @@
     return run(scenario())
 
 
+def outstanding(loads):
+    return sum(state.in_flight for state in loads._states.values())
+
+
+# The caller was gone before the first event was read: work counted there for good.
+@pytest.mark.parametrize("read", [False, True])
+def test_a_stream_that_is_not_read_releases_what_it_holds(read):
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        stream = response(b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n")
+        closed = []
+        stream.ok_value.close = lambda: closed.append(clock())
+        attempts = attempt_sender(Port([stream]), clock, decode("d"))
+        agent_client = AgentClient(context(clock, _Transport()))
+        dispatcher = GenerationDispatcher(attempts, agent_client)
+        call = forward_call(clock, MODEL, RetryMode.STREAM, prompt())
+        reply = (await dispatcher.run(call)).ok_value
+        under_way = attempts.loads.snapshot(["d"])
+        if read:
+            await anext(reply.chunks)
+        await reply.chunks.aclose()
+        reply.release()
+        reply.release()
+        return under_way, attempts.loads, closed
+
+    under_way, loads, closed = run(scenario())
+    assert outstanding(under_way) > 0
+    assert outstanding(loads) == 0
+    assert len(closed) == 1
+
+
 def test_memory_is_reserved_before_the_prompt_is_prefilled():
     _, port, events, _ = generate(
         [response(b"handle"), response(b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n")]
