Reopen a connection between members that is silent one way at the side that sends

Only the side that hears nothing reopened its own connection, which is not the one that is silent. A member's echo says what it received last; if that stands still, the sender reopens its connection.

--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -66,6 +66,7 @@
         last_heard: time of its last heartbeat; negative infinity if none.
         last_mentioned: when it or another member last mentioned its address.
         echo: `sent_at` of its newest heartbeat, which is echoed to it.
+        reached_at: when the newest message was sent that it said it received.
         reconnected_at: when its connection was last reopened.
         answered_at: when a heartbeat of it was last answered.
         read_age_s: at `last_heard`, seconds since the store answered its own last
@@ -85,6 +86,7 @@
     last_heard: float = float("-inf")
     last_mentioned: float = 0.0
     echo: float = -1.0
+    reached_at: float = float("-inf")
     reconnected_at: float = 0.0
     answered_at: float = float("-inf")
     read_age_s: float = float("inf")
@@ -438,6 +440,8 @@
             logger.info("member became live", extra={"member": member.address})
         newcomer = member.echo < 0 or heartbeat.echo < 0
         member.last_heard = now
+        if heartbeat.echo <= now:
+            member.reached_at = max(member.reached_at, heartbeat.echo)
         member.echo = heartbeat.sent_at
         member.entry, member.zone = heartbeat.entry, heartbeat.zone
         member.capacity, member.zoned = heartbeat.capacity, heartbeat.zoned
@@ -492,8 +496,16 @@
         return member
 
     def _reconnect(self, member: Member, now: float) -> None:
-        """Reopen a connection that may be dead."""
-        if now - max(member.last_heard, member.reconnected_at) >= RECONNECT_AFTER_S:
+        """Reopen a connection that may be dead.
+
+        It may be silent one way only: the member is heard, and hears nothing.
+        """
+        silent_s = now - max(member.last_heard, member.reconnected_at)
+        unheard_s = now - max(member.reached_at, member.reconnected_at)
+        if (
+            silent_s >= RECONNECT_AFTER_S
+            or unheard_s >= RECONNECT_AFTER_S + self.liveness_timeout_s
+        ):
             member.reconnected_at = now
             self.context.transport.reconnect(member.address)
 
