Take no echo from before a start for a time of this process

A member echoes the last heartbeat that it got, perhaps of the process before a restart; after a loss of power the clock begins anew, so that keys counted as confirmed in the future. Test failed before.

--- a/packages/ebonyglade/src/ebonyglade/forward/store/replica_sync.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store/replica_sync.py
@@ -49,9 +49,11 @@
     _packer: DocumentPacker = field(default_factory=DocumentPacker)
     _newer_since: dict[int, float] = field(default_factory=dict)
     _newer_heard_at: float = float("-inf")
+    _started_at: float = field(init=False)
 
     def __post_init__(self) -> None:
         self.transfer = ReplicaTransfer(self.context, self.replica, self._apply)
+        self._started_at = self.context.clock()
 
     def start(self) -> None:
         """Register handlers and timers."""
@@ -123,12 +125,20 @@
             self.transfer.offer(member)
             return
         self.transfer.withdraw(member)
-        if heartbeat.echo >= 0 and version.era == replica.as_of.era:
+        if self._is_own(heartbeat.echo) and version.era == replica.as_of.era:
             # The own replica contains everything up to the member's revision, so
             # that the member's confirmation holds for it too. A member of an older
             # era confirms what the store has lost since.
             replica.confirm_current_at(heartbeat.echo - state.age_s)
 
+    def _is_own(self, echo: float) -> bool:
+        """Return whether this process sent the heartbeat that a member echoes.
+
+        One that was sent before its start is of another process, whose clock may have
+        been another one, too.
+        """
+        return self._started_at <= echo <= self.context.clock()
+
     def on_zone_report(self, report: ZoneReport, at: float) -> None:
         """Record the endpoints that told members of another zone that they leave."""
         self._mark_leaving(report.leaving)
--- a/tests/forward/test_fleet.py
+++ b/tests/forward/test_fleet.py
@@ -1,6 +1,9 @@
 import asyncio
 
+import pytest
+
 from ebonyglade.forward.members import FORGET_AFTER_S, LIVENESS_TIMEOUT_S
+from ebonyglade.wire.fleet import FleetHeartbeat, StoreState
 from ebonyglade_lab.virtual.loop import run
 from helpers.forwarding import at, configuration, endpoint, listed
 from helpers.members import member_fleet
@@ -126,3 +129,36 @@
     replica = run(scenario())
     assert set(replica.registry.endpoints) == {"b"}
     assert replica.as_of == at(9)
+
+
+# Its sender heard the other side and took the connection for sound.
+def test_a_connection_that_is_silent_one_way_is_reopened():
+    async def scenario():
+        network, nodes = member_fleet(2)
+        await asyncio.sleep(1)
+        network.faults.dead_connections |= {("n0", "n1")}
+        await asyncio.sleep(LIVENESS_TIMEOUT_S + 0.2)
+        cut = nodes["n1"].names()
+        await asyncio.sleep(4.0)
+        return cut, nodes["n1"].names()
+
+    assert run(scenario()) == (set(), {"n0"})
+
+
+# The clock of a machine begins anew when it has lost power.
+@pytest.mark.parametrize("sent_s", [-3.0, 500.0])
+def test_an_echo_from_before_a_restart_confirms_no_replica(sent_s):
+    async def scenario():
+        await asyncio.sleep(10.0)
+        _, nodes = member_fleet(2)
+        await asyncio.sleep(0.5)
+        node = nodes["n0"]
+        node.replica.apply([], at(5))
+        member = node.members.all()[0]
+        state = StoreState(as_of=5, age_s=0.0)
+        now = node.context.clock()
+        heartbeat = FleetHeartbeat(now, echo=now + sent_s, store=state)
+        node.replica_sync.on_heartbeat(member, heartbeat)
+        return node.replica.age(now)
+
+    assert run(scenario()) > 1e6
