Let no document of an unknown service take over an endpoint's address

A document of another writer with the address of a sound endpoint and a later start took its place, for good. A document that names a configured service is not told from an endpoint that started again. Test failed before in both orders.

--- a/packages/ebonyglade/src/ebonyglade/forward/store/store_replica.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/store/store_replica.py
@@ -461,14 +461,25 @@
         The document of an endpoint that crashed stays in the store for some
         seconds, while its next process is already listed at the same address.
         """
+        if not self._has_service(endpoint):
+            return False
         for name, other in list(self.registry.endpoints.items()):
             if other.address != endpoint.address or name == endpoint.id:
                 continue
+            if not self._has_service(other):
+                continue
             if other.born_ms > endpoint.born_ms:
                 return True
             self._drop(name, "replaced by a newer endpoint at its address")
         return False
 
+    def _has_service(self, endpoint: Endpoint) -> bool:
+        """Return whether the service of an endpoint is configured, as far as known.
+
+        Other writers' documents may name any; they take no address over.
+        """
+        return self.table is None or endpoint.service in self.table.services
+
     def _unlist_endpoint(self, name: str, item: StoreDocument) -> None:
         known = self.registry.endpoints.get(name)
         until = self._outage_ended_at + RELIST_GRACE_S
--- a/tests/forward/store/test_store_replica.py
+++ b/tests/forward/store/test_store_replica.py
@@ -79,6 +79,18 @@
     assert list(replica.registry.endpoints) == ["new"]
 
 
+# Another writer's document took the place of a sound endpoint.
+@pytest.mark.parametrize("first", ["sound", "odd"])
+def test_a_document_of_an_unknown_service_takes_over_no_address(first):
+    replica = store_replica(Clock())
+    replica.apply([configuration(1, 1)], at(1))
+    sound = endpoint("sound", address="10.0.0.9:80", born_ms=10)
+    odd = endpoint("odd", "nobody", address="10.0.0.9:80", born_ms=20)
+    order = [sound, odd] if first == "sound" else [odd, sound]
+    replica.apply([listed(item, 2 + n) for n, item in enumerate(order)], at(5))
+    assert [item.id for item in replica.registry.accepting("desk")] == ["sound"]
+
+
 def test_replacing_from_pages_does_not_undo_later_changes():
     replica = store_replica(Clock())
     replica.apply([listed(endpoint("late"), 9)], at(9))
