--- a/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/prefiller.py
@@ -18,7 +18,7 @@
 MAX_PREFILL_ATTEMPTS = 2
 # With this share of failures a prompt is prefilled apart only if the budget has a retry
 # for the run that follows a failure.
-LIKELY_REJECTED_SHARE = 0.15
+MAX_UNCOVERED_FAILED_SHARE = 0.15
 SHARE_WEIGHT = 0.1  # of the latest prefill
 MAX_LEASE_WAIT_S = 1.4  # the memory reservation must not expire meanwhile
 LEASE_POLL_S = 0.04  # between two requests for the prefill lease
@@ -44,12 +44,12 @@
     Attributes:
         attempts: sends attempts to endpoints.
         agent_client: acquires the prefill leases of decode endpoints.
-        rejected_share: share of the latest prefills that failed.
+        failed_share: share of the latest prefills that failed.
     """
 
     attempts: AttemptSender
     agent_client: AgentClient
-    rejected_share: float = 0.0
+    failed_share: float = 0.0
 
     async def prefill(self, call: ForwardCall) -> PrefillSource | None:
         """Have a prefill endpoint prefill the prompt; None if that failed."""
@@ -58,13 +58,15 @@
             endpoint = await self.attempts.acquire(call, excluded, Stage.PREFILL)
             if endpoint is None or self.attempts.gate.refusal(call) is not None:
                 return None
-            likely = self.rejected_share > LIKELY_REJECTED_SHARE
-            if not await self.attempts.take_retries(call, True, likely):
+            likely = self.failed_share > MAX_UNCOVERED_FAILED_SHARE
+            if not await self.attempts.take_retries(
+                call, prefill=True, rejection_likely=likely
+            ):
                 return None
             excluded.add(endpoint.id)
             source = await self._prefill_at(call, endpoint)
-            self.rejected_share += SHARE_WEIGHT * (
-                float(source is None) - self.rejected_share
+            self.failed_share += SHARE_WEIGHT * (
+                float(source is None) - self.failed_share
             )
             if source is not None:
                 # Other requests may need what was taken for the case of a rejection.
