--- a/review/lib2/machines.py
+++ b/review/6/lib2/machines.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parents[3]
 READY_PORT_OFFSET = 5
 STORE_IP = "127.0.3.1"
 
