Log what an entry knows of other entries when it refuses for a rate

The log could not tell a bucket that was spent from one to which nothing is added, nor an agent that became live from an entry, nor settings that name others from settings that do not.

Change: 'request refused' has tokens_added, 'member became live' has entry, 'settings reloaded' has others. Nothing else changes.

--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -107,6 +107,7 @@
             "settings reloaded",
             extra={
                 "seeds": len(loaded.seeds),
+                "others": len(loaded.seed_addresses()),
                 "needs_restart": ",".join(name for name in changed if name != "seeds"),
             },
         )
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -286,6 +286,7 @@
                 "workspace": call.workspace_name,
                 "cost": _cost(call, call.workspace) if call.workspace else 0.0,
                 "tokens_left": self.rates.level(call.workspace_name),
+                "tokens_added": self.rates.joined_at is not None,
                 "retry_after": refusal.retry_after,
                 "configuration": table.version if table else 0,
                 **self.replica.log_fields(now),
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -437,7 +437,10 @@
             self._notify_departure(member)
         member.incarnation = sender.incarnation
         if now - member.last_heard >= self.liveness_timeout_s:
-            logger.info("member became live", extra={"member": member.address})
+            logger.info(
+                "member became live",
+                extra={"member": member.address, "entry": heartbeat.entry},
+            )
         newcomer = member.echo < 0 or heartbeat.echo < 0
         member.last_heard = now
         if heartbeat.echo <= now:
--- a/tests/forward/test_rates_of_a_fleet.py
+++ b/tests/forward/test_rates_of_a_fleet.py
@@ -156,3 +156,20 @@
     assert rates.take(REQUESTS, 1.0, 0.1) > 0
     rates.record_joined(0.2)
     assert all(rates.take(REQUESTS, 1.0, 0.3) == 0 for _ in range(20))
+
+
+# Tokens that ran out and tokens that are not added looked the same in the log.
+def test_the_log_tells_a_spent_bucket_from_one_that_gets_no_tokens(caplog):
+    async def scenario():
+        network = Network(random.Random(1))
+        limits = RateTolerance(overage=0.25, slack=20.0)
+        entry = Entry(network, "e1", limits, workspace=REQUESTS)
+        await asyncio.sleep(JOIN_S)
+        entry.core.admit(entry.plain_call("id-1"))
+        await entry.core.run(entry.plain_call("id-2"))
+
+    with caplog.at_level("INFO", "ebonyglade.forward.entry"):
+        run(scenario())
+    refused = [item for item in caplog.records if item.message == "request refused"]
+    assert refused
+    assert not any(item.tokens_added for item in refused)
