--- a/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/virtual/network.py
@@ -20,6 +20,7 @@
 
     Attributes:
         partitioned: pairs of instances that can't reach each other.
+        cut_one_way: pairs of a sender and a receiver that it can't reach.
         dead_connections: connections, by sender and receiver, that lose all messages
             until the sender reconnects.
         lose: probability that a message is lost.
@@ -29,6 +30,7 @@
     """
 
     partitioned: set[frozenset[str]] = field(default_factory=set)
+    cut_one_way: set[tuple[str, str]] = field(default_factory=set)
     dead_connections: set[tuple[str, str]] = field(default_factory=set)
     lose: float = 0.0
     repeat: float = 0.0
@@ -99,6 +101,8 @@
     def _is_lost(self, source: str, target: str) -> bool:
         if frozenset((source, target)) in self.faults.partitioned:
             return True
+        if (source, target) in self.faults.cut_one_way:
+            return True
         if (source, target) in self.faults.dead_connections:
             return True
         return self._rng.random() < self.faults.lose
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -83,14 +83,14 @@
             await self.add_runtime_dependency(service)
 
     def reload(self, path: str, members: FleetMembers) -> None:
-        """Read the settings file again and add the seeds that it lists now.
+        """Read the settings file again and apply the seeds that it lists now.
 
         No other setting is applied without a restart; the log lists those that
         changed.
 
         Args:
             path: path of the settings file.
-            members: membership that the seeds are added to.
+            members: membership that uses the seeds.
         """
         try:
             loaded = load(path, type(self.settings))
@@ -102,7 +102,7 @@
             for name in type(loaded).model_fields
             if getattr(loaded, name) != getattr(self.settings, name)
         )
-        members.add_seeds(loaded.seed_addresses())
+        members.set_seeds(loaded.seed_addresses())
         logger.info(
             "settings reloaded",
             extra={
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -34,6 +34,8 @@
 from ebonyglade.forward.origins.origin_exchange import OriginExchange
 from ebonyglade.forward.origins.resumed_streams import ResumedStreams
 from ebonyglade.forward.plain import PlainDispatcher
+from ebonyglade.forward.presence.agent_contacts import AgentContacts
+from ebonyglade.forward.presence.other_entries import OtherEntries
 from ebonyglade.forward.rate_exchange import RateExchange
 from ebonyglade.forward.rates import FleetRates, RateTolerance
 from ebonyglade.forward.retries.fleet_retries import FleetRetries
@@ -127,10 +129,6 @@
         self.replica_sync = ReplicaSync(context, self.replica)
         alone = not set(seeds) - {context.identity.instance}
         self._start_check = StartCheck(context.clock(), alone)
-        now = context.clock()
-        self.rates = FleetRates(
-            limits.rates, now, self._workspace, joined_at=now if alone else None
-        )
         self.crashes = CrashEvidence()
         self.evidence_exchange = EvidenceExchange(
             self.crashes, context.identity.instance
@@ -141,10 +139,23 @@
         self.members = FleetMembers(
             context, seeds, self._compose_heartbeat, limits.capacity
         )
-        self.known_entries = KnownEntries(context.clock, alone)
+        self.other_entries = OtherEntries(
+            context, self.members, AgentContacts(self.members, self.replica)
+        )
+        now = context.clock()
+        self.rates = FleetRates(
+            limits.rates,
+            now,
+            self._workspace,
+            joined_at=now if self.other_entries.known else None,
+        )
+        self.known_entries = KnownEntries(
+            context.clock, lambda: self.other_entries.is_only_one
+        )
         self.slack_exchange = SlackExchange(
             context,
             self.members,
+            self.other_entries,
             self.known_entries,
             RetrySlack(limits.budget, limits.rates.first_start),
         )
@@ -171,7 +182,9 @@
             self.replica,
         )
         self.load_exchange = LoadExchange(context, self.members, self.zones, self.loads)
-        self.rate_exchange = RateExchange(context, self.members, self.rates, self.zones)
+        self.rate_exchange = RateExchange(
+            context, self.members, self.rates, self.zones, self.other_entries
+        )
         self.attempts = AttemptSender(
             adapter=adapter,
             port=port,
@@ -217,6 +230,7 @@
         """Register handlers and timers, and join the fleet."""
         self.replica_sync.start()
         self.agent_client.start()
+        self.other_entries.start()
         self.rate_exchange.start()
         self.slack_exchange.start()
         self.limit_exchange.start()
@@ -230,6 +244,7 @@
         self.zones.listeners += [
             self.replica_sync.on_zone_report,
             self.agent_client.on_zone_report,
+            self.other_entries.on_zone_report,
             self._on_zone_report,
         ]
         self.zones.start()
--- a/packages/ebonyglade/src/ebonyglade/forward/members.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/members.py
@@ -41,6 +41,9 @@
 # less than `NEW_MEMBER_S` ago.
 COMPLETE_EVERY = 8
 NEW_MEMBER_S = 2.0
+# A process that starts learns of the members in this time, before it tells of new ones.
+JOIN_S = 1.0
+LISTED_AS_NEW_S = 3.0  # for which an entry that became live is listed to all members
 # A member that is not among those that heartbeats are sent to gets one in answer to
 # its own, at most this often.
 ANSWER_INTERVAL_S = 0.5
@@ -64,6 +67,7 @@
         retries: whether it can grant retries, see `RetryRequest`.
         known_since: when its address became known.
         last_heard: time of its last heartbeat; negative infinity if none.
+        live_since: when it became live with this incarnation.
         last_mentioned: when it or another member last mentioned its address.
         echo: `sent_at` of its newest heartbeat, which is echoed to it.
         reached_at: when the newest message was sent that it said it received.
@@ -84,6 +88,7 @@
     retries: bool = False
     known_since: float = 0.0
     last_heard: float = float("-inf")
+    live_since: float = float("-inf")
     last_mentioned: float = 0.0
     echo: float = -1.0
     reached_at: float = float("-inf")
@@ -133,6 +138,17 @@
 HeartbeatListener = Callable[[Member, FleetHeartbeat], None]
 
 
+def _record_of(member: Member, now: float) -> MemberRecord:
+    """Return the record by which others learn of a member."""
+    return MemberRecord(
+        member.address,
+        round(now - member.last_heard, 2),
+        member.zone,
+        member.capacity,
+        member.entry,
+    )
+
+
 def reporter_rank(address: str, capacity: float) -> tuple[float, str]:
     """Return the sort key by which a zone's members report for it.
 
@@ -147,7 +163,7 @@
 
     Attributes:
         context: transport, clock and timers.
-        seeds: addresses to contact first; never forgotten.
+        seeds: addresses to contact first; not forgotten while they are seeds.
         compose: composes heartbeats; echo and members are filled in here.
         capacity: rate of the own network link in Mbit/s; 0 if not known.
         heartbeat_listeners: called with each member's heartbeat.
@@ -171,6 +187,7 @@
     _next_heartbeat_at: float = 0.0
     _interval_s: float = HEARTBEAT_S
     _rounds: int = 0
+    _started_at: float = 0.0
 
     def start(self) -> None:
         """Register handlers and start sending heartbeats, first to the seeds."""
@@ -180,7 +197,8 @@
                 ShutdownNotice: self._on_shutdown_notice,
             }
         )
-        self.add_seeds(self.seeds)
+        self._started_at = self.context.clock()
+        self.set_seeds(self.seeds)
         self.context.every(HEARTBEAT_S, self.send_heartbeats)
         self.send_heartbeats(self.context.clock())
 
@@ -199,9 +217,14 @@
         """Silence after which a member is not live."""
         return max(LIVENESS_TIMEOUT_S, LIVENESS_HEARTBEATS * self._interval_s)
 
-    def add_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Add seeds that heartbeats are sent to from now on."""
-        self.seeds = tuple(dict.fromkeys((*self.seeds, *seeds)))
+    @property
+    def names_others(self) -> bool:
+        """Whether the settings name any other member as a seed."""
+        return any(seed != self.address for seed in self.seeds)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Set the seeds, which heartbeats are sent to from now on."""
+        self.seeds = tuple(dict.fromkeys(seeds))
         for seed in seeds:
             self._add(seed, self.context.clock())
 
@@ -361,24 +384,43 @@
     def _records_for(
         self, member: Member, listing: bool, now: float
     ) -> list[MemberRecord]:
-        """Return the members to list: all to newcomers, a sample if `listing`."""
+        """Return the members to list: all to newcomers, a sample if `listing`.
+
+        Entries that came or went are listed to all members, also to those that they do
+        not reach themselves.
+        """
         if member.echo < 0:
             return self._all_records(now)
         if not listing:
-            return []
+            return self._changed_entry_records(now)
         records = self._records(now)
         if len(records) > MAX_LISTED_MEMBERS:
             records = self.context.rng.sample(records, MAX_LISTED_MEMBERS)
         return records
 
     def _records(self, now: float) -> list[MemberRecord]:
+        """Return the members that were heard lately, and the entries that were not."""
         return [
-            MemberRecord(
-                item.address, round(now - item.last_heard, 2), item.zone, item.capacity
-            )
+            _record_of(item, now)
             for item in self.direct()
-            if now - item.last_heard < GOSSIP_MAX_AGE_S
+            if item.entry or now - item.last_heard < GOSSIP_MAX_AGE_S
+        ]
+
+    def _changed_entry_records(self, now: float) -> list[MemberRecord]:
+        """Return the entries that became live lately and, less often, silent ones."""
+        if now - self._started_at < JOIN_S:
+            return []
+        tells_silent = self._rounds % COMPLETE_EVERY == 0
+        found = [
+            _record_of(item, now)
+            for item in self.direct()
+            if item.entry
+            and (
+                now - item.live_since < LISTED_AS_NEW_S
+                or (tells_silent and now - item.last_heard >= GOSSIP_MAX_AGE_S)
+            )
         ]
+        return found[:MAX_LISTED_MEMBERS]
 
     def _all_records(self, now: float) -> list[MemberRecord]:
         """Return the members for a newcomer, which may be of any zone."""
@@ -435,8 +477,11 @@
             return
         if member.incarnation not in ("", sender.incarnation):
             self._notify_departure(member)
+        returned = now - member.last_heard >= self.liveness_timeout_s
+        if returned or member.incarnation != sender.incarnation:
+            member.live_since = now
         member.incarnation = sender.incarnation
-        if now - member.last_heard >= self.liveness_timeout_s:
+        if returned:
             logger.info(
                 "member became live",
                 extra={"member": member.address, "entry": heartbeat.entry},
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/presence/__init__.py
@@ -0,0 +1,1 @@
+"""Which other entries may serve callers, and what this process may use beside them."""
--- a/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
@@ -5,7 +5,12 @@
 
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member
-from ebonyglade.forward.rates import FleetRates, silent_key, zone_key
+from ebonyglade.forward.presence.other_entries import (
+    MEMORY_S,
+    UPDATE_INTERVAL_S,
+    OtherEntries,
+)
+from ebonyglade.forward.rates import UNHEARD_KEY, FleetRates, silent_key, zone_key
 from ebonyglade.forward.types import Workspace
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
@@ -32,12 +37,14 @@
         members: the other entries.
         rates: this entry's buckets.
         zones: exchange with the other zones of a large fleet.
+        others: what is known of the other entries.
     """
 
     context: Context
     members: FleetMembers
     rates: FleetRates
     zones: ZoneExchange
+    others: OtherEntries
 
     def start(self) -> None:
         """Register listeners and message handlers."""
@@ -51,6 +58,7 @@
                 RateLevels: self._on_levels,
             }
         )
+        self.context.every(UPDATE_INTERVAL_S, self._update)
 
     def announce_spending(self, workspace: Workspace, cost: float) -> None:
         """Report an expensive request to the other entries at once."""
@@ -61,13 +69,35 @@
         self.zones.announce_admitted(message)
 
     def forget_departed(self) -> None:
-        """Forget the entries and zones that no longer speak for themselves."""
-        kept = {item.address for item in self.members.direct()}
+        """Forget the entries and zones that no longer speak for themselves.
+
+        Those that fell silent are kept while nothing shows that they have ended, or are
+        out of touch with most agents.
+        """
+        kept = {UNHEARD_KEY}
+        kept |= {
+            item.address
+            for item in self.members.direct()
+            if not self.others.has_lapsed(item.address)
+        }
         if self.members.divided:
             zones = self.members.other_zones.reporters
             kept |= {zone_key(zone) for zone in zones}
             kept |= {silent_key(zone) for zone in zones}
-        self.rates.retain_entries(kept)
+        now = self.context.clock()
+        members = {item.address for item in self.members.all()}
+        lost = self.rates.entries_heard_since(now - MEMORY_S) - members
+        if self.others.may_forget(now):
+            lost = set()
+        self.rates.retain_entries(kept | lost)
+
+    def _update(self, now: float) -> None:
+        """Apply what is known of entries that this process does not hear."""
+        self.rates.set_unheard(self.others.unheard_count())
+        if self.others.known:
+            self.rates.record_joined(now)
+        missing = self.rates.any_silent(now)
+        self.rates.set_share(self.others.share(now, missing), now)
 
     def _on_heartbeat(self, member: Member, heartbeat: FleetHeartbeat) -> None:
         if not heartbeat.entry or self.members.is_represented(member):
--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -9,20 +9,22 @@
 buckets. Until it knows them, or if all entries have restarted, its buckets begin
 with `INITIAL_HEADROOM_SHARE` of the tolerance that they do not use, because tokens
 that the previous process of this instance admitted count in the same window, and
-possibly no process knows of them any more. No tokens are added before it hears
-another entry if its settings name any: it may be cut off from all others, which use
+possibly no process knows of them any more. No tokens are added before it knows which
+other entries there are, see `presence`: it may be cut off from all others, which use
 the whole rate meanwhile.
 
 An entry that fell silent may have ended, or may still serve on the other side of a
 network partition. Until it is forgotten or known to have ended, it counts as
 spending an equal share of the rate and of the tokens that were left when it fell
 silent. Thus the two sides of a partition together admit no more than the whole fleet
-may, but for what they admit until they notice the silence.
+may, but for what they admit until they notice the silence. Where a side may lack
+entries that it does not know of, its `FleetShare` leaves them a part.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ebonyglade.forward.presence.fleet_share import WHOLE, FleetShare
 from ebonyglade.forward.types import Workspace
 from ebonyglade.wire.fleet import RateLevel
 
@@ -35,8 +37,6 @@
 # After this time without a response the levels are not requested any more: a bucket
 # that was kept this long is right whatever its initial level was.
 LEVELS_WAIT_S = 10.0
-# The members that the settings name count as gone after this time without any entry.
-JOIN_WAIT_S = 30.0
 # Reporters of a zone whose offsets are kept. Two report at a time, and each restart of
 # one counts as another.
 MAX_REPORTERS = 8
@@ -101,10 +101,17 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    """Token bucket of one workspace; negative where too much was admitted."""
+    """Token bucket of one workspace.
+
+    Attributes:
+        level: tokens left; negative where too much was admitted.
+        at: when the level was brought up to date, in seconds.
+        usable: share of the rate and burst that was left to the entries heard then.
+    """
 
     level: float
     at: float
+    usable: float = 1.0
 
 
 @dataclass(slots=True)
@@ -143,6 +150,13 @@
     return None
 
 
+MIN_WAIT_S = 0.001
+# Until callers are to come back while no tokens are added.
+UNKNOWN_WAIT_S = 1.0
+# Name under which the entries are kept that only other members hear.
+UNHEARD_KEY = "unheard entries"
+
+
 def silent_key(zone: str) -> str:
     """Return the name under which the silent entries of a zone are kept."""
     return f"silent in zone {zone}"
@@ -161,14 +175,15 @@
         limits: allowance above rates and bursts.
         started_at: when this process started.
         find_workspace: returns a workspace by its name; None if there is none.
-        joined_at: when another entry was heard, or this process began to count as the
-            only one; None before that.
+        joined_at: since when it is known which other entries there are; None before
+            that.
     """
 
     limits: RateTolerance = RateTolerance()
     started_at: float = 0.0
     find_workspace: Callable[[str], Workspace | None] = _no_workspace
     joined_at: float | None = 0.0
+    _share: FleetShare = WHOLE
     _adopted: bool = False
     _requested_at: float = float("-inf")
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
@@ -204,7 +219,7 @@
         )
 
     def record_joined(self, now: float) -> None:
-        """Record that another entry was heard; tokens are added from now on."""
+        """Record that the other entries are known; tokens are added from now on."""
         if self.joined_at is not None:
             return
         self.joined_at = now
@@ -214,6 +229,26 @@
                 initial = self.limits.initial_level(workspace)
                 bucket.level += self.limits.burst(workspace) - initial
 
+    def set_share(self, share: FleetShare, now: float) -> None:
+        """Set the share of the rates and bursts that may be used from now on."""
+        if share.value != self._share.at(now):
+            # What was added until now was added at the share until now.
+            for name in self._buckets:
+                workspace = self.find_workspace(name)
+                if workspace is not None and workspace.rate > 0:
+                    self._bucket(workspace, now)
+        self._share = share
+
+    def set_unheard(self, entries: int) -> None:
+        """Set how many entries only other members hear; they count as silent ones."""
+        self._set_silent(UNHEARD_KEY, entries)
+
+    def any_silent(self, now: float) -> bool:
+        """Return whether any other entry is silent that may still serve."""
+        return any(
+            now - other.last_heard > SILENT_AFTER_S for other in self._others.values()
+        )
+
     def should_request_levels(self, now: float) -> bool:
         """Return whether to request another entry's levels now; records the request."""
         if (
@@ -273,19 +308,28 @@
         """
         if workspace.rate <= 0:
             return 0.0
-        bucket = self._bucket(workspace, now)
         largest = max(cost, self._largest.get(workspace.name, 0.0))
         self._largest[workspace.name] = largest
-        colliding = largest * self._colliding_requests()
-        needed = cost + self.limits.reserve(workspace, colliding)
+        bucket = self._bucket(workspace, now)
         # A request that costs more than the burst needs a full bucket and leaves
         # the bucket negative.
-        missing = min(needed, self.limits.burst(workspace)) - bucket.level
+        needed = min(self._needed(workspace, cost), self.limits.burst(workspace))
+        missing = needed - bucket.level
         if missing > 0:
-            return max(missing / self.limits.rate(workspace), 0.001)
+            return self._wait_s(missing, self.limits.rate(workspace) * bucket.usable)
         self._charge(workspace.name, cost, now)
         return 0.0
 
+    def _needed(self, workspace: Workspace, cost: float) -> float:
+        """Return the tokens that must be in a bucket to admit a request."""
+        colliding = self._largest.get(workspace.name, 0.0) * self._colliding_requests()
+        return cost + self.limits.reserve(workspace, colliding)
+
+    def _wait_s(self, missing: float, rate: float) -> float:
+        """Return the seconds until missing tokens have been added."""
+        shortest_s = MIN_WAIT_S if self.joined_at is not None else UNKNOWN_WAIT_S
+        return max(missing / rate, shortest_s)
+
     def _colliding_requests(self) -> int:
         """Return how many requests may be admitted at the same moment."""
         by_zones = any(other.offsets for other in self._others.values())
@@ -364,7 +408,7 @@
             other = self._others[name] = _OtherEntry("", {}, at)
         if entries is not None:
             other.entries = entries
-            self._set_silent(zone, silent)
+            self._set_silent(silent_key(zone), silent)
         offsets = other.offsets.get(reporter)
         if offsets is None:
             if not complete:
@@ -402,14 +446,21 @@
             for name, part in other.assumed_level.items():
                 self._buckets[name].level += part
 
+    def entries_heard_since(self, at: float) -> set[str]:
+        """Return the other entries that were heard themselves after some time."""
+        return {
+            name
+            for name, other in self._others.items()
+            if other.incarnation and other.last_heard > at
+        }
+
     def retain_entries(self, entries: set[str]) -> None:
         """Forget all other entries that are not among `entries`."""
         for entry in set(self._others) - entries:
             del self._others[entry]
 
-    def _set_silent(self, zone: str, silent: int) -> None:
-        """Set how many entries of a zone count as silent although the zone is heard."""
-        name = silent_key(zone)
+    def _set_silent(self, name: str, silent: int) -> None:
+        """Set how many entries count as silent under a name of their own."""
         if silent == 0:
             self.remove_entry(name)
             return
@@ -466,8 +517,6 @@
 
     def _joined_s(self, since: float, now: float) -> float:
         """Return the seconds since some time in which tokens are added."""
-        if self.joined_at is None and now - self.started_at > JOIN_WAIT_S:
-            self.record_joined(now)
         if self.joined_at is None:
             return 0.0
         return max(0.0, now - max(since, self.started_at, self.joined_at))
@@ -477,20 +526,24 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = self._buckets[workspace.name] = self._new_bucket(workspace, now)
-        elapsed = self._joined_s(bucket.at, now)
+        added = rate * self._joined_s(bucket.at, now) * self._share.at(now)
         bucket.at = now
         entries = 1 + sum(other.entries for other in self._others.values())
         left = max(0.0, bucket.level)
-        bucket.level += rate * elapsed
-        level_parts = 0.0
+        bucket.level += added
+        level_parts, silent = 0.0, 0
         for other in self._others.values():
             if now - other.last_heard > SILENT_AFTER_S:
-                rate_part = rate * elapsed * other.entries / entries
+                silent += other.entries
+                rate_part = added * other.entries / entries
                 bucket.level -= rate_part
                 level_parts += self._assume_spent(
                     other, workspace.name, rate_part, left / entries
                 )
-        bucket.level = min(bucket.level, burst) - level_parts
+        bucket.usable = self._share.at(now) * (1 - silent / entries)
+        largest = self._needed(workspace, self._largest.get(workspace.name, 0.0))
+        capacity = min(burst, max(burst * bucket.usable, largest))
+        bucket.level = min(min(bucket.level, burst) - level_parts, capacity)
         return bucket
 
     def _assume_spent(
--- a/packages/ebonyglade/src/ebonyglade/forward/retries/known_entries.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/retries/known_entries.py
@@ -1,5 +1,6 @@
 """How many entries share what is granted to all of them together."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ebonyglade.ports import Clock
@@ -45,15 +46,16 @@
     has not heard of for what is not there.
     """
 
-    def __init__(self, clock: Clock, alone: bool) -> None:
+    def __init__(self, clock: Clock, is_only_one: Callable[[], bool]) -> None:
         """Create the count.
 
         Args:
             clock: seconds.
-            alone: whether the settings name no other member.
+            is_only_one: returns whether this is the only entry, as far as agents or the
+                settings tell.
         """
         self._clock = clock
-        self._alone = alone
+        self._is_only_one = is_only_one
         self._started_at = clock()
         self._counted = _Largest(self._started_at)
         self._stated = _Largest(self._started_at)
@@ -67,7 +69,7 @@
     def number(self) -> int | None:
         """Number of entries to reckon with; None if it is not known."""
         entries = max(1, self._counted.number, self._stated.number)
-        if self._alone:
+        if self._is_only_one():
             return entries
         joined = self._clock() - self._started_at >= JOIN_S and entries > 1
         return entries if joined else None
--- a/packages/ebonyglade/src/ebonyglade/forward/retries/slack_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/retries/slack_exchange.py
@@ -6,6 +6,7 @@
 from ebonyglade.context import Context
 from ebonyglade.forward.members import FleetMembers, Member, reporter_rank
 from ebonyglade.forward.pending_answers import PendingAnswers
+from ebonyglade.forward.presence.other_entries import OtherEntries
 from ebonyglade.forward.retries.known_entries import KnownEntries
 from ebonyglade.forward.retries.slack import RetrySlack
 from ebonyglade.ports import Sender
@@ -32,12 +33,14 @@
     Attributes:
         context: transport, clock and ids.
         members: the members of the fleet.
+        others: what is known of the other entries.
         known: number of entries that share the slack.
         slack: what this process grants.
     """
 
     context: Context
     members: FleetMembers
+    others: OtherEntries
     known: KnownEntries
     slack: RetrySlack
     _pending: PendingAnswers = field(default_factory=PendingAnswers)
@@ -82,7 +85,8 @@
 
     def _update(self, now: float) -> None:
         """Find out who grants retries, and which share is due to this process."""
-        self.known.record_counted(self.members.entry_count())
+        unheard = self.others.unheard_count()
+        self.known.record_counted(self.members.entry_count() + unheard)
         entries = self._zone_entries(now)
         ranks = {item.address: item.capacity for item in entries if item.retries}
         ranks[self.members.address] = self.members.capacity
@@ -90,6 +94,8 @@
         number, share = self.known.number, 0.0
         if number and self._grantor == self.members.address:
             share = min(1.0, (1 + len(entries)) / number)
+            missing = self.members.live_entry_share(now) < 1.0 or unheard > 0
+            share *= self.others.share(now, missing).at(now)
         self.slack.set_share(share, now)
 
     def _zone_entries(self, now: float) -> list[Member]:
--- a/packages/ebonyglade/src/ebonyglade/wire/fleet.py
+++ b/packages/ebonyglade/src/ebonyglade/wire/fleet.py
@@ -20,12 +20,15 @@
             message from it.
         zone: its availability zone; "" if it is not known.
         capacity: see `FleetHeartbeat`.
+        entry: whether the sender itself heard it, as an entry. Such a record is also
+            sent when the entry fell silent, until the sender forgets it.
     """
 
     address: str
     silent_s: float
     zone: str = ""
     capacity: float = 0.0
+    entry: bool = False
 
 
 class StoreState(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/forward/retries/test_known_entries.py
+++ b/tests/forward/retries/test_known_entries.py
@@ -6,7 +6,7 @@
 
 def known_entries(alone=False):
     clock = Clock(0.0)
-    return KnownEntries(clock, alone), clock
+    return KnownEntries(clock, lambda: alone), clock
 
 
 # A process that had just started divided what is shared by the few that it knew.
--- a/tests/forward/test_rates_of_a_fleet.py
+++ b/tests/forward/test_rates_of_a_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ebonyglade.forward.rates import JOIN_WAIT_S, FleetRates, RateTolerance
+from ebonyglade.forward.rates import FleetRates, RateTolerance
 from ebonyglade.forward.types import PromptSize, Workspace
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
@@ -142,12 +142,17 @@
     assert len(run(scenario())) <= owed * 1.25 + 20.0
 
 
-# What an entry may use alone is known once the others count as gone.
-def test_an_entry_that_hears_no_other_for_long_admits_the_whole_rate():
+# Silence alone, however long, does not show that the others are gone: entries that
+# never heard of each other used the whole rate each.
+@pytest.mark.parametrize("silent_s", [5.0, 31.0, 3600.0])
+def test_an_entry_that_hears_no_other_admits_nothing_until_the_others_are_known(
+    silent_s,
+):
     rates = FleetRates(RateTolerance(), 0.0, lambda name: REQUESTS, joined_at=None)
-    assert rates.take(REQUESTS, 1.0, 5.0) > 0
-    assert rates.take(REQUESTS, 1.0, JOIN_WAIT_S + 1.0) > 0
-    assert rates.take(REQUESTS, 1.0, JOIN_WAIT_S + 2.0) == 0
+    assert rates.take(REQUESTS, 1.0, silent_s) > 0
+    assert rates.take(REQUESTS, 1.0, silent_s + 1.0) > 0
+    rates.record_joined(silent_s + 1.0)
+    assert rates.take(REQUESTS, 1.0, silent_s + 2.0) == 0
 
 
 def test_an_entry_that_hears_another_one_soon_begins_with_the_whole_burst():
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -47,6 +47,7 @@
         services=(MODEL, PLAIN_SERVICE),
         cold=DEFAULT_COLD_BOUNDS,
         regions=None,
+        seeds=("e0",),
     ):
         self.process = Process(name, incarnation)
         context = member_context(self.process, network, zone)
@@ -60,7 +61,7 @@
         )
         if link_mbps:
             network.set_link_rate(name, link_mbps * BYTES_PER_MBIT)
-        self.core = ForwardEntry(context, plain_adapter, port, limits, ("e0",), regions)
+        self.core = ForwardEntry(context, plain_adapter, port, limits, seeds, regions)
         network.attach(name, lambda frame: context.deliver(*open_frame(frame)))
         self.core.start()
         routes = [route(RetryMode.STREAM, shares=shares, target_s=1.0, timeout_s=14.0)]
