--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -21,8 +21,8 @@
     Token,
 )
 from ebonyglade_node.http_bodies import (
-    ResetCheckingConnector,
-    ResetCheckingHandler,
+    StrictConnector,
+    StrictResponseHandler,
     body_of,
     describe,
 )
@@ -55,7 +55,7 @@
     """A request was aborted after its connection opened, before it was sent."""
 
 
-class _CheckedConnector(ResetCheckingConnector):
+class _CheckedConnector(StrictConnector):
     """Sends a service call at most once, if it is still allowed when connected."""
 
     async def connect(self, *args: object, **options: object) -> Connection:
@@ -122,7 +122,7 @@
     request is retried by aiohttp.
     """
     return aiohttp.ClientSession(
-        connector=_CheckedConnector(ResetCheckingHandler, limit=0, force_close=True),
+        connector=_CheckedConnector(StrictResponseHandler, limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -136,7 +136,7 @@
     second copy of an earlier one.
     """
     return aiohttp.ClientSession(
-        connector=ResetCheckingConnector(ResetCheckingHandler, force_close=True),
+        connector=StrictConnector(StrictResponseHandler, force_close=True),
         timeout=aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -22,8 +22,8 @@
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
 from ebonyglade_node.http_bodies import (
-    ResetCheckingConnector,
-    ResetCheckingHandler,
+    StrictConnector,
+    StrictResponseHandler,
     body_of,
 )
 
@@ -86,7 +86,7 @@
 _current_attempt: ContextVar[SendAttempt | None] = ContextVar("sending", default=None)
 
 
-class _MatchingResponseHandler(ResetCheckingHandler):
+class _MatchingResponseHandler(StrictResponseHandler):
     """Passes on only the response that belongs to the active request.
 
     Endpoints may send a second response, or bytes after a response. They belong to
@@ -189,7 +189,7 @@
         return await super().send(conn)
 
 
-class _Connector(ResetCheckingConnector):
+class _Connector(StrictConnector):
     """Opens connections with `_MatchingResponseHandler` and a TCP user timeout."""
 
     def __init__(self, id_header: str, **options: object) -> None:
--- a/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of responses that arrive over HTTP; the only reader of aiohttp's responses."""
+"""Responses that arrive over HTTP; the only reader of aiohttp's responses."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -9,6 +9,7 @@
 
 from ebonyglade.bodies import Body
 from ebonyglade.completeness import Ending, Framing, IncompleteResponse
+from ebonyglade_node.http_heads import HeadChecker, MalformedHead
 
 MAX_REASON_CHARS = 200
 
@@ -17,12 +18,43 @@
     """The connection failed before the end of a response."""
 
 
-class ResetCheckingHandler(ResponseHandler):
-    """Reports a reset within a body as an error, also one without a length.
+class NoResponse(aiohttp.ClientError):
+    """What arrived is no response in the protocol."""
 
-    The same holds for a connection that this process closes within a body.
+
+class StrictResponseHandler(ResponseHandler):
+    """Reports what is no whole response in the protocol as an error.
+
+    These are malformed heads, and bodies that a reset truncates, also without a length,
+    or that this process truncates by closing the connection.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._heads = HeadChecker()
+
+    def set_response_params(self, **options: object) -> None:
+        """Begin to read the response to a request."""
+        self._heads = HeadChecker()
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrives, unless it completes a malformed head."""
+        if self._parser is not None:
+            try:
+                self._heads.feed(data)
+            except MalformedHead as error:
+                self._refuse(NoResponse(str(error)))
+                return
+        super().data_received(data)
+
+    def _refuse(self, error: aiohttp.ClientError) -> None:
+        """Fail the response and close the connection."""
+        self._fail_body(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def close(self) -> None:
         """Close the connection and fail a response that this truncates."""
         self._fail_body(aiohttp.ClientPayloadError("connection closed here"))
@@ -52,11 +84,11 @@
             payload.set_exception(error)
 
 
-class ResetCheckingConnector(aiohttp.TCPConnector):
-    """Opens connections with `ResetCheckingHandler`, or with another one like it."""
+class StrictConnector(aiohttp.TCPConnector):
+    """Opens connections with `StrictResponseHandler`, or with another one like it."""
 
     def __init__(
-        self, handler: type[ResetCheckingHandler] | partial, **options: object
+        self, handler: type[StrictResponseHandler] | partial, **options: object
     ) -> None:
         super().__init__(**options)
         self._factory = partial(handler, loop=asyncio.get_running_loop())
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -22,8 +22,8 @@
 from ebonyglade.config.relay import Relay
 from ebonyglade.wire.control import ConfigItem
 from ebonyglade_node.http_bodies import (
-    ResetCheckingConnector,
-    ResetCheckingHandler,
+    StrictConnector,
+    StrictResponseHandler,
     body_of,
 )
 from ebonyglade_node.metrics import Metrics
@@ -80,7 +80,7 @@
         total = self._section.wait_s + RESPONSE_MARGIN_S
         self._session = aiohttp.ClientSession(
             # A late second copy of a response would be taken for the next one.
-            connector=ResetCheckingConnector(ResetCheckingHandler, force_close=True),
+            connector=StrictConnector(StrictResponseHandler, force_close=True),
             timeout=aiohttp.ClientTimeout(total=total),
         )
 
