--- a/packages/ebonyglade-node/src/ebonyglade_node/http_heads.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_heads.py
@@ -7,7 +7,10 @@
 import re
 
 # RFC 9112, section 4; the status codes are those of RFC 9110, section 15.
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: .*)?")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?")
+# RFC 9110, section 5.5: a token, and a value without control characters. A line that
+# begins with a blank would be joined to the one before it.
+_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*")
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _LINE_END = re.compile(rb"\r?\n")
 _END_BYTES = 4  # longest end of a head
@@ -51,8 +54,11 @@
     Raises:
         MalformedHead: the protocol does not allow it.
     """
-    status_line, *_ = _LINE_END.split(head)
+    status_line, *field_lines = _LINE_END.split(head)
     match = _STATUS_LINE.fullmatch(status_line)
     if match is None or match[1] == _SWITCHING_PROTOCOLS:
         raise MalformedHead(f"status line {status_line[:40]!r}")
+    for line in field_lines:
+        if _FIELD_LINE.fullmatch(line) is None:
+            raise MalformedHead(f"field line {line[:40]!r}")
     return match[1]
--- a/tests/forward/answers/test_malformed_heads.py
+++ b/tests/forward/answers/test_malformed_heads.py
@@ -176,11 +176,62 @@
             await call(address)
 
 
+FIELD_LINES = {
+    "blank in a name": "X-Re mark: a",
+    "blank after a name": "X-Remark : a",
+    "tab in a name": "X-Re\tmark: a",
+    "control byte in a name": "X-Re\x01mark: a",
+    "delete in a name": "X-Re\x7fmark: a",
+    "no name": ": a",
+    "no colon": "X-Remark",
+    "joined by a blank": " and by another",
+    "joined by a tab": "\tand by another",
+    "only a blank": " ",
+    "parentheses in a name": "X(Remark): a",
+    "slash in a name": "X/Remark: a",
+    "control byte in a value": "X-Remark: a\x02b",
+    "delete in a value": "X-Remark: a\x7fb",
+    "carriage return in a value": "X-Remark: a\rb",
+    "no byte in a value": "X-Remark: a\x00b",
+}
+all_lines = pytest.mark.parametrize(
+    "line", FIELD_LINES.values(), ids=FIELD_LINES.keys()
+)
+
+
+# MIXED: a line that begins with a blank was joined to the signature's and passed on.
+@pytest.mark.parametrize("kind", TARGETS)
+@all_lines
+async def test_a_malformed_field_line_does_not_reach_callers(kind, line):
+    got = await refused_bytes(Endpoints("run", fields=f"{line}\r\n"), kind)
+    assert got.startswith(b"HTTP/1.1 502")
+    assert b"signed-by-it" not in got
+    assert b"booked" not in got
+
+
+@all_lines
+async def test_a_prefill_with_a_malformed_field_line_is_not_used(line):
+    got = await refused_bytes(Endpoints("prefill", fields=f"{line}\r\n"), "stream")
+    assert got.startswith(b"HTTP/1.1 200")
+    assert b"booked" in got
+
+
+@pytest.mark.parametrize("call", CALLS.values(), ids=CALLS.keys())
+@all_lines
+async def test_a_call_with_a_malformed_field_line_has_failed(call, line):
+    start = head("HTTP/1.1 200 X", fields=f"{line}\r\n")
+    server, address = await server_of(with_length(start, b"{}"))
+    async with server:
+        with pytest.raises(CALL_ERRORS):
+            await call(address)
+
+
 SOUND_HEADS = (
     b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
     b"HTTP/1.1 200\r\n\r\n",
     b"HTTP/1.0 599 What\r\nA:\r\n\r\n",
     b"\r\nHTTP/1.1 200 OK\r\n\r\n",
+    b'HTTP/1.1 200 \xc3\x9c\r\nX_y.z!: \t\xc3\xbc, "q"\r\nB:c\r\n\r\n',
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\nA: b\n\n",
 )
 
