--- a/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
@@ -1,6 +1,10 @@
 """Responses that arrive over HTTP; the only reader of aiohttp's responses."""
 
+import array
 import asyncio
+import fcntl
+import logging
+import termios
 from collections.abc import AsyncIterator
 from functools import partial
 
@@ -11,6 +15,8 @@
 from ebonyglade.completeness import Ending, Framing, IncompleteResponse
 from ebonyglade_node.http_heads import HeadChecker, MalformedHead
 
+logger = logging.getLogger(__name__)
+
 MAX_REASON_CHARS = 200
 
 
@@ -26,7 +32,8 @@
     """Reports what is no whole response in the protocol as an error.
 
     These are malformed heads, and bodies that a reset truncates, also without a length,
-    or that this process truncates by closing the connection.
+    or that this process truncates by closing the connection. A body without a length
+    whose connection ends before the request was sent whole is not shown to be complete.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -48,6 +55,20 @@
                 return
         super().data_received(data)
 
+    def eof_received(self) -> None:
+        """Fail a body whose end is not shown if part of the request was not sent."""
+        payload = self._payload
+        if payload is not None and not payload.is_eof() and self._unsent_bytes():
+            self._refuse(aiohttp.ClientPayloadError("request was not sent whole"))
+        super().eof_received()
+
+    def _unsent_bytes(self) -> int:
+        """Return the bytes that the other end has not acknowledged."""
+        if self.transport is None:
+            return 0
+        waiting = self.transport.get_write_buffer_size()
+        return waiting or _queued_bytes(self.transport.get_extra_info("socket"))
+
     def _refuse(self, error: aiohttp.ClientError) -> None:
         """Fail the response and close the connection."""
         self._fail_body(error)
@@ -94,6 +115,16 @@
         self._factory = partial(handler, loop=asyncio.get_running_loop())
 
 
+def _queued_bytes(opened: asyncio.trsock.TransportSocket) -> int:
+    """Return the bytes that the system holds to send; 0 where it does not tell."""
+    size = array.array("i", [0])
+    try:
+        fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, size)
+    except OSError as error:
+        logger.debug("unsent bytes not known", extra={"reason": str(error)})
+    return size[0]
+
+
 def body_of(response: aiohttp.ClientResponse) -> Body:
     """Return the body of a response, which releases the connection at its end."""
     return Body(_framing(response), _parts(response))
