--- a/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
@@ -11,13 +11,17 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from ebonyglade.bodies import Body
+from ebonyglade.bodies import KIB, Body
 from ebonyglade.completeness import Ending, Framing, IncompleteResponse
 from ebonyglade_node.http_heads import HeadChecker, MalformedHead
 
 logger = logging.getLogger(__name__)
 
 MAX_REASON_CHARS = 200
+# Bytes of a response that are no content: its heads, and what frames its body. Sound
+# heads are far smaller, and a chunk of one byte has five or six bytes of framing.
+MAX_FRAMING_BYTES = 256 * KIB
+MAX_FRAMING_PER_BYTE = 16
 
 
 class ResponseReset(aiohttp.ClientPayloadError):
@@ -34,26 +38,39 @@
     These are malformed heads, and bodies that a reset truncates, also without a length,
     or that this process truncates by closing the connection. A body without a length
     whose connection ends before the request was sent whole is not shown to be complete.
+    Bytes without end that are no content are given up, too.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._heads = HeadChecker()
+        self._received_bytes = 0
 
     def set_response_params(self, **options: object) -> None:
         """Begin to read the response to a request."""
         self._heads = HeadChecker()
+        self._received_bytes = 0
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what arrives, unless it completes a malformed head."""
-        if self._parser is not None:
-            try:
-                self._heads.feed(data)
-            except MalformedHead as error:
-                self._refuse(NoResponse(str(error)))
-                return
+        """Parse what arrives, unless it shows that this is no response."""
+        if self._parser is None:
+            super().data_received(data)
+            return
+        try:
+            self._heads.feed(data)
+        except MalformedHead as error:
+            self._refuse(NoResponse(str(error)))
+            return
+        self._received_bytes += len(data)
         super().data_received(data)
+        if self._has_too_much_framing():
+            self._refuse(NoResponse("too many bytes that are no content"))
+
+    def _has_too_much_framing(self) -> bool:
+        content = self._payload.total_bytes if self._payload is not None else 0
+        allowed = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BYTE * content
+        return self._received_bytes - content > allowed
 
     def eof_received(self) -> None:
         """Fail a body whose end is not shown if part of the request was not sent."""
