--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from aiohttp import web
 from mode import Service
@@ -63,7 +65,7 @@
         self._runners: list[web.AppRunner] = []
         self._listener: CallerListener | None = None
         self._active_handlers: set[web.RequestHandler] = set()
-        self._run_limits: set[asyncio.Timeout] = set()
+        self._stop_limits: set[asyncio.Timeout] = set()
         drain_s = grace_s - BALANCER_DELAY_S - CLOSE_S - EXIT_S
         self.drainer = RequestDrainer(BALANCER_DELAY_S, max(0.0, drain_s), QUIET_S)
 
@@ -106,12 +108,12 @@
             "connections closed",
             extra={
                 "left_open": self._listener.open_connections,
-                "refused_active": len(self._run_limits),
+                "refused_active": len(self._stop_limits),
             },
         )
-        for limit in self._run_limits:
+        for limit in self._stop_limits:
             limit.reschedule(loop.time())
-        await asyncio.sleep(max(0.0, ends_at - loop.time()) if self._run_limits else 0)
+        await asyncio.sleep(max(0.0, ends_at - loop.time()) if self._stop_limits else 0)
 
     async def _new_runner(self, app: web.Application) -> web.AppRunner:
         runner = web.AppRunner(
@@ -210,15 +212,44 @@
     async def _run(self, call: ForwardCall) -> Reply:
         """Run a request; one that is active at the end of a planned stop is refused."""
         try:
-            async with asyncio.timeout(None) as limit:
-                self._run_limits.add(limit)
+            async with self._until_stopped() as limit:
                 return await self._entry.run(call)
         except TimeoutError:
             if not limit.expired():
                 raise
             return Err(refuse("deadline_exceeded" if call.endpoints else "stopping"))
-        finally:
-            self._run_limits.discard(limit)
+
+    async def _read_body(
+        self, request: web.Request, max_bytes: int
+    ) -> Result[bytes, Refusal]:
+        """Read a request's body.
+
+        One that is not whole before a closing entry takes no more requests is refused,
+        as little time is left to run it.
+        """
+        try:
+            async with self._until_stopped() as limit:
+                body = await _read_body(request, max_bytes)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return Err(refuse("stopping"))
+        closed = self.drainer.state is ServingState.CLOSED
+        return Err(refuse("stopping")) if closed else body
+
+    @asynccontextmanager
+    async def _until_stopped(self) -> AsyncIterator[asyncio.Timeout]:
+        """Limit what is done for a caller to the end of a planned stop.
+
+        Raises:
+            TimeoutError: the stop ends; `expired` of the limit tells it from others.
+        """
+        async with asyncio.timeout(None) as limit:
+            self._stop_limits.add(limit)
+            try:
+                yield limit
+            finally:
+                self._stop_limits.discard(limit)
 
     async def _read_call(
         self, request: web.Request, started: float
@@ -236,7 +267,7 @@
             return Err(refuse("stopping"))
         if self.drainer.open_requests > self._section.max_requests:
             return Err(refuse("overloaded"))
-        body = await _read_body(request, limits.body_bytes)
+        body = await self._read_body(request, limits.body_bytes)
         if isinstance(body, Err):
             return body
         headers = [(str(name), str(value)) for name, value in request.headers.items()]
--- a/tests/forward/test_planned_stop.py
+++ b/tests/forward/test_planned_stop.py
@@ -101,6 +101,65 @@
         assert len(received(setup)) == 1
 
 
+async def upload_while_stopping(setup, last_byte_after_s):
+    """Send a booking whose last byte comes some time after the beginning of a stop.
+
+    Returns:
+        The status of its answer, and when it came; None and the end of the connection
+        if there is no answer.
+    """
+    loop = asyncio.get_running_loop()
+    host, port = setup.base.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-1\r\n"
+        b"X-Deadline-Ms: 5000\r\nApi-Key: key-1\r\nContent-Length: 2\r\n\r\ns"
+    )
+    await asyncio.sleep(0.1)
+    started = loop.time()
+
+    async def stop():
+        await setup.entry.drain()
+        await setup.entry.server.stop()
+
+    stopping = asyncio.ensure_future(stop())
+    if last_byte_after_s is not None:
+        loop.call_later(last_byte_after_s, writer.write, b"t")
+    try:
+        async with asyncio.timeout(2 * GRACE_S):
+            line = await reader.readline()
+    except (TimeoutError, ConnectionError):
+        line = b""
+    answered_s = loop.time() - started
+    writer.close()
+    stopping.cancel()
+    return int(line.split()[1]) if line else None, answered_s
+
+
+# LOST: an upload that was whole late in the grace was passed on, and cut at its end
+# with no answer. It may run, so that it must not be refused as not run after that.
+@pytest.mark.parametrize("last_byte_after_s", [0.7, 1.2, 1.45, 1.6])
+async def test_an_upload_that_is_whole_late_in_a_stop_is_not_passed_on(
+    last_byte_after_s, monkeypatch
+):
+    monkeypatch.setattr(server, "BALANCER_DELAY_S", BALANCER_DELAY_S)
+    async with forwarding_setup(grace_s=GRACE_S) as setup:
+        for worker in setup.workers.values():
+            worker.failure = "silent"
+        status, answered_s = await upload_while_stopping(setup, last_byte_after_s)
+        assert status == 503
+        assert answered_s < GRACE_S
+        assert not received(setup)
+
+
+async def test_an_upload_that_outlasts_a_stop_is_refused_in_its_time(monkeypatch):
+    monkeypatch.setattr(server, "BALANCER_DELAY_S", BALANCER_DELAY_S)
+    async with forwarding_setup(grace_s=GRACE_S) as setup:
+        status, answered_s = await upload_while_stopping(setup, None)
+        assert status == 503
+        assert answered_s < GRACE_S
+
+
 async def test_a_process_that_gets_sigterm_answers_every_request(tmp_path):
     """The whole stop of a process, with the delays and the grace period in use."""
     async with AsyncExitStack() as stack:
