--- a/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/staging/service.py
@@ -11,6 +11,7 @@
 from ebonyglade_agent.staging.settings import StagingSettings
 from ebonyglade_node.endpoint_client import CALL_ERRORS
 from ebonyglade_node.forward_node import ForwardNode
+from ebonyglade_node.settings_watch import SettingsWatch
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +45,7 @@
         )
         await self.node.join(self.agent.replica_sync, self.agent.members)
         self.agent.start()
+        await self.add_runtime_dependency(SettingsWatch(self._path, self.reload))
         logger.info("started", extra={"seeds": len(self._settings.seeds)})
 
     @Service.task
@@ -107,8 +109,12 @@
         self._reachable = reachable
 
     def reload(self) -> None:
-        """Apply those changed settings that need no restart."""
-        self.node.reload(self._path, self.agent.members)
+        """Apply those changed settings that need no restart.
+
+        What changes while this process starts is applied when it has started.
+        """
+        if self.agent is not None:
+            self.node.reload(self._path, self.agent.members)
 
     async def drain(self) -> None:
         """Announce the shutdown; no active request depends on this process."""
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -9,6 +9,7 @@
 from ebonyglade_entry.forwarding.server import ForwardServer
 from ebonyglade_entry.forwarding.settings import ForwardSettings
 from ebonyglade_node.forward_node import ForwardNode
+from ebonyglade_node.settings_watch import SettingsWatch
 
 logger = logging.getLogger(__name__)
 
@@ -73,11 +74,16 @@
         await self.node.join(self.entry.replica_sync, self.entry.members)
         self.entry.start()
         await self.add_runtime_dependency(self.server)
+        await self.add_runtime_dependency(SettingsWatch(self._path, self.reload))
         logger.info("started", extra={"seeds": len(self._settings.seeds)})
 
     def reload(self) -> None:
-        """Apply those changed settings that need no restart."""
-        self.node.reload(self._path, self.entry.members)
+        """Apply those changed settings that need no restart.
+
+        What changes while this process starts is applied when it has started.
+        """
+        if self.entry is not None:
+            self.node.reload(self._path, self.entry.members)
 
     async def drain(self) -> None:
         """Report not ready, finish the active requests and tell the other members."""
--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_node.py
@@ -33,6 +33,7 @@
     def __init__(self, settings: ForwardNodeSettings) -> None:
         super().__init__()
         self.settings = settings
+        self._in_file = settings
         self.metrics = Metrics()
         self.adapter = load_adapter(settings.store.adapter)
         instance = settings.instance
@@ -85,8 +86,8 @@
     def reload(self, path: str, members: FleetMembers) -> None:
         """Read the settings file again and apply the seeds that it lists now.
 
-        No other setting is applied without a restart; the log lists those that
-        changed.
+        Nothing happens if it is as it was when it was last read. No other setting is
+        applied without a restart; the log lists those that changed.
 
         Args:
             path: path of the settings file.
@@ -97,6 +98,9 @@
         except UserError as error:
             logger.warning("settings rejected", extra={"reason": str(error)})
             return
+        if loaded == self._in_file:
+            return
+        self._in_file = loaded
         changed = sorted(
             name
             for name in type(loaded).model_fields
--- a/tests/forward/presence/test_entries_apart_as_processes.py
+++ b/tests/forward/presence/test_entries_apart_as_processes.py
@@ -70,4 +70,11 @@
         await asyncio.sleep(32.0)
         served = []
         await nodes.press(names, WINDOW_S, 2 * PER_S, served)
-        assert most_in_window(served) <= ALLOWED
+        # The platform now names the machines that live, and sends no signal.
+        for name in names:
+            nodes.write_settings(name, names, **BOUNDS)
+        await nodes.press(names, 6.0, 2 * PER_S, served)
+        known = []
+        await nodes.press(names, WINDOW_S, 2 * PER_S, known)
+        assert most_in_window(served + known) <= ALLOWED
+        assert len(known) >= 0.8 * RATE * WINDOW_S
--- a/tests/forward/test_forwarding_path.py
+++ b/tests/forward/test_forwarding_path.py
@@ -9,7 +9,17 @@
 
 from ebonyglade_agent.staging.service import StagingAgent
 from ebonyglade_agent.staging.settings import StagingSettings
-from helpers.forwarding_path import MODEL, ROUTES, forwarding_setup, received, settings
+from ebonyglade_entry.forwarding.service import ForwardingEntry
+from ebonyglade_entry.forwarding.settings import ForwardSettings
+from helpers.forwarding_path import (
+    MODEL,
+    ROUTES,
+    forwarding_setup,
+    received,
+    settings,
+    start_platform,
+)
+from helpers.ports import free_port
 from helpers.users_platform import PlatformStore, PlatformWorker, config, route
 
 
@@ -244,6 +254,33 @@
         assert (await setup.ask("/read/x"))[0] == 200
 
 
+# QUOTA: a file that changed without a signal was not read, so that an entry whose seeds
+# were stale at its start stayed alone for good.
+async def test_a_settings_file_that_changes_without_a_signal_is_applied(tmp_path):
+    file = tmp_path / "entry.toml"
+    async with AsyncExitStack() as stack:
+        store, _ = await start_platform(stack)
+        listen = {
+            "callers": f"127.0.0.1:{free_port()}",
+            "ready": f"127.0.0.1:{free_port()}",
+        }
+        loaded = settings(ForwardSettings, store, listen=listen, seeds=["127.0.0.8:1"])
+        document = loaded.model_dump(mode="json")
+        file.write_text(tomli_w.dumps(document))
+        entry = ForwardingEntry(loaded, str(file))
+        await stack.enter_async_context(entry)
+        members = entry.entry.members
+        document["seeds"] = ["127.0.0.9:1"]
+        whole = tomli_w.dumps(document)
+        file.write_text(whole[:40])  # as while it is being written
+        await asyncio.sleep(0.7)
+        assert [seed.split(":")[1] for seed in members.seeds] == ["//127.0.0.8"]
+        file.write_text(whole)
+        async with asyncio.timeout(3.0):
+            while [seed.split(":")[1] for seed in members.seeds] != ["//127.0.0.9"]:
+                await asyncio.sleep(0.05)
+
+
 async def test_an_agent_orders_a_surplus_prefill_endpoint_to_decode():
     async with AsyncExitStack() as stack:
         store = PlatformStore()
