--- a/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/forward_settings.py
@@ -115,7 +115,8 @@
 
     Attributes:
         seeds: "IP:port" of machines to contact first. Only the IP numbers are used,
-            as all processes receive messages on the same port.
+            as all processes receive messages on the same port. Changes are
+            applied while the process runs, with SIGHUP or without.
         zones: region of each availability zone.
     """
 
