Charge what another entry reports from its first heartbeat on (QUOTA)

What callers saw: nothing; where an entry hears others that do not hear it, up to 158 requests ran in 8 s, 145 allowed (8 entries; 149 with 3).

Cause: others send such an entry their totals whole only each 1.6 s, since they think that it knows them. Until then it passed over what they reported, and admitted as if they admitted nothing.

Change: totals count from the first heartbeat on, each workspace's from the first that names it. Found by the table of tests/forward/presence; the rows 'not_reached' failed with 3 and 8 entries before.

--- a/packages/ebonyglade/src/ebonyglade/forward/rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates.py
@@ -126,6 +126,7 @@
         assumed_level: part of these that it may have spent of the bucket's level.
         assumed_entries: number of entries for which that part counts.
         entries: number of entries that it stands for; more than one for a zone.
+        all_known: whether `spent` has all workspaces for which it has spent tokens.
         offsets: for a zone, what to add to the totals of each of its reporters, since
             each counts from its own start.
     """
@@ -137,6 +138,7 @@
     assumed_level: dict[str, float] = field(default_factory=dict)
     assumed_entries: dict[str, int] = field(default_factory=dict)
     entries: int = 1
+    all_known: bool = True
     offsets: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def clear_assumed(self) -> None:
@@ -360,16 +362,18 @@
         """
         other = self._others.get(entry)
         if other is None:
-            if not complete:
-                return
-            # What it admitted before this process knew of it is not charged.
-            other = self._others[entry] = _OtherEntry(incarnation, dict(spent), now)
+            other = _OtherEntry(incarnation, {}, now, all_known=False)
+            self._others[entry] = other
         elif other.incarnation != incarnation:
             other = self._others[entry] = _OtherEntry(incarnation, {}, now)
         for name, total in spent.items():
+            if not other.all_known:
+                # What it admitted before this process knew of it is not charged.
+                other.spent.setdefault(name, total)
             self._charge_total(other, name, total, now)
         other.last_heard = now
         if complete:
+            other.all_known = True
             self._refund_assumed(other)
 
     def apply_zone(
--- a/tests/forward/presence/test_entries_apart.py
+++ b/tests/forward/presence/test_entries_apart.py
@@ -37,6 +37,10 @@
     fleet.cut(fleet.others, ["e1"], both_ways=False)
 
 
+def not_reached(fleet):
+    fleet.cut(["e1"], fleet.others, both_ways=False)
+
+
 def cut_off_with_agents(fleet):
     fleet.cut(["e1", *fleet.agent_names], fleet.others)
 
@@ -64,6 +68,7 @@
     back: WHOLE_SHARE,
     cut_both_ways: WHOLE_SHARE,
     not_heard: WHOLE_SHARE,
+    not_reached: WHOLE_SHARE,
     cut_off_with_agents: WHOLE_SHARE,
     cut_off_without_agents: 0.5,  # the others' part of two entries
     started_apart: WHOLE_SHARE,
