Move the rates of the fleet into a folder of their own

Cause: forward/ has too many files at its top for a newcomer (23), and what belongs to rates stood between others.

--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of workspaces over all entries."""
--- a/packages/ebonyglade/src/ebonyglade/forward/rate_exchange.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates/rate_exchange.py
@@ -10,7 +10,12 @@
     UPDATE_INTERVAL_S,
     OtherEntries,
 )
-from ebonyglade.forward.rates import UNHEARD_KEY, FleetRates, silent_key, zone_key
+from ebonyglade.forward.rates.fleet_rates import (
+    UNHEARD_KEY,
+    FleetRates,
+    silent_key,
+    zone_key,
+)
 from ebonyglade.forward.types import Workspace
 from ebonyglade.forward.zone_exchange import ZoneExchange
 from ebonyglade.ports import Sender
--- a/tests/forward/test_rates.py
+++ b/tests/forward/rates/test_rates.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from ebonyglade.forward.rates import (
+from ebonyglade.forward.rates.fleet_rates import (
     LEVELS_WAIT_S,
     MAX_REPORTERS,
     SILENT_AFTER_S,
--- a/tests/forward/test_zones.py
+++ b/tests/forward/test_zones.py
@@ -19,7 +19,7 @@
     REPORTERS_PER_ZONE,
     reporter_rank,
 )
-from ebonyglade.forward.rates import SILENT_AFTER_S, RateTolerance
+from ebonyglade.forward.rates.fleet_rates import SILENT_AFTER_S, RateTolerance
 from ebonyglade.forward.store.store_readers import (
     FOLLOWED_MAX_AGE_S,
     READ_MAX_AGE_S,
