Give what the platform grants above rates a module of its own

Change: forward/rates/tolerance.py. Nothing but paths and imports changed; the tests of rates, retries, starts and zones pass.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/service.py
@@ -5,7 +5,7 @@
 from mode import Service
 
 from ebonyglade.forward.entry import ForwardEntry, ForwardLimits
-from ebonyglade.forward.rates.fleet_rates import RateTolerance
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade_entry.forwarding.server import ForwardServer
 from ebonyglade_entry.forwarding.settings import ForwardSettings
 from ebonyglade_node.forward_node import ForwardNode
--- a/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/large_fleets.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/experiments/large_fleets.py
@@ -12,7 +12,7 @@
 
 from ebonyglade.context import Context, Identity
 from ebonyglade.forward.entry import ForwardEntry, ForwardLimits
-from ebonyglade.forward.rates.fleet_rates import RateTolerance
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.retries.retry_budget import RetryBudgetLimits
 from ebonyglade_lab.experiments.report import Table
 from ebonyglade_lab.virtual.adapter import plain_adapter
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -36,8 +36,9 @@
 from ebonyglade.forward.plain import PlainDispatcher
 from ebonyglade.forward.presence.agent_contacts import AgentContacts
 from ebonyglade.forward.presence.other_entries import OtherEntries
-from ebonyglade.forward.rates.fleet_rates import FleetRates, RateTolerance
+from ebonyglade.forward.rates.fleet_rates import FleetRates
 from ebonyglade.forward.rates.rate_exchange import RateExchange
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.retries.fleet_retries import FleetRetries
 from ebonyglade.forward.retries.known_entries import KnownEntries
 from ebonyglade.forward.retries.retry_budget import OwnRetries, RetryBudgetLimits
--- a/tests/forward/rates/test_rate_exchange.py
+++ b/tests/forward/rates/test_rate_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from ebonyglade.forward.rates.fleet_rates import RateTolerance
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
 from helpers.entries import WORKSPACE, Entry
--- a/tests/forward/rates/test_rates.py
+++ b/tests/forward/rates/test_rates.py
@@ -8,8 +8,8 @@
     MAX_REPORTERS,
     SILENT_AFTER_S,
     FleetRates,
-    RateTolerance,
 )
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.types import Workspace
 
 SPACE = Workspace("w", (), rate=1000.0, burst=2000.0)
--- a/tests/forward/rates/test_rates_of_a_fleet.py
+++ b/tests/forward/rates/test_rates_of_a_fleet.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from ebonyglade.forward.rates.fleet_rates import FleetRates, RateTolerance
+from ebonyglade.forward.rates.fleet_rates import FleetRates
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.types import PromptSize, Workspace
 from ebonyglade_lab.virtual.loop import run
 from ebonyglade_lab.virtual.network import Network
--- a/tests/forward/test_zones.py
+++ b/tests/forward/test_zones.py
@@ -19,7 +19,8 @@
     REPORTERS_PER_ZONE,
     reporter_rank,
 )
-from ebonyglade.forward.rates.fleet_rates import SILENT_AFTER_S, RateTolerance
+from ebonyglade.forward.rates.fleet_rates import SILENT_AFTER_S
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.store.store_readers import (
     FOLLOWED_MAX_AGE_S,
     READ_MAX_AGE_S,
--- a/tests/helpers/entries.py
+++ b/tests/helpers/entries.py
@@ -5,7 +5,7 @@
 from ebonyglade.forward.call import ForwardCall
 from ebonyglade.forward.endpoint_limits.cold_endpoints import DEFAULT_COLD_BOUNDS
 from ebonyglade.forward.entry import ForwardEntry, ForwardLimits
-from ebonyglade.forward.rates.fleet_rates import RateTolerance
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.retries.retry_budget import RetryBudgetLimits
 from ebonyglade.forward.types import RequestMetadata, RetryMode, Share, Workspace
 from ebonyglade_lab.virtual.adapter import plain_adapter
--- a/tests/helpers/presence_fleet.py
+++ b/tests/helpers/presence_fleet.py
@@ -6,7 +6,7 @@
 
 from ebonyglade.audit import AuditTrail
 from ebonyglade.forward.agent import ForwardAgent
-from ebonyglade.forward.rates.fleet_rates import RateTolerance
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.types import EngineReport, Stage, Workspace
 from ebonyglade_lab.virtual.adapter import plain_adapter
 from ebonyglade_lab.virtual.network import Network, open_frame
--- a/tests/helpers/retry_fleet.py
+++ b/tests/helpers/retry_fleet.py
@@ -12,7 +12,7 @@
 from ebonyglade.bodies import Body
 from ebonyglade.completeness import Framing
 from ebonyglade.forward.call import AttemptFailure, EndpointResponse, FailureKind
-from ebonyglade.forward.rates.fleet_rates import RateTolerance
+from ebonyglade.forward.rates.tolerance import RateTolerance
 from ebonyglade.forward.types import (
     ControlResponse,
     ResponseMetadata,
