--- a/packages/ebonyglade/src/ebonyglade/forward/rates/fleet_rates.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/rates/fleet_rates.py
@@ -126,7 +126,7 @@
             that.
     """
 
-    limits: RateTolerance = RateTolerance()
+    limits: RateTolerance = field(default_factory=RateTolerance)
     started_at: float = 0.0
     find_workspace: Callable[[str], Workspace | None] = _no_workspace
     joined_at: float | None = 0.0
