--- a/packages/ebonyglade-node/src/ebonyglade_node/http_heads.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_heads.py
@@ -15,6 +15,7 @@
 _LINE_END = re.compile(rb"\r?\n")
 _END_BYTES = 4  # longest end of a head
 _INTERIM = b"1"
+MAX_INTERIM = 32  # interim responses before a final one
 _SWITCHING_PROTOCOLS = b"101"  # a final response to a request that nobody sent
 
 
@@ -27,13 +28,15 @@
 
     def __init__(self) -> None:
         self._head = b""
+        self._interim = 0
         self._is_done = False
 
     def feed(self, data: bytes) -> None:
         """Check the next bytes of the connection; those of a body are not looked at.
 
         Raises:
-            MalformedHead: a head is complete that the protocol does not allow.
+            MalformedHead: a head is complete that the protocol does not allow, or is
+                one of too many.
         """
         while data and not self._is_done:
             searched = max(0, len(self._head) - _END_BYTES)
@@ -46,6 +49,9 @@
             status = _check(self._head[: end.start()])
             self._head = b""
             self._is_done = not status.startswith(_INTERIM)
+            self._interim += 1
+            if self._interim > MAX_INTERIM:
+                raise MalformedHead("too many interim responses")
 
 
 def _check(head: bytes) -> bytes:
--- a/tests/forward/answers/test_malformed_heads.py
+++ b/tests/forward/answers/test_malformed_heads.py
@@ -8,7 +8,7 @@
 from ebonyglade.forward.types import ControlCall
 from ebonyglade_agent.engine import new_query_session, new_session
 from ebonyglade_node.endpoint_client import CALL_ERRORS, EndpointClient
-from ebonyglade_node.http_heads import HeadChecker, MalformedHead
+from ebonyglade_node.http_heads import MAX_INTERIM, HeadChecker, MalformedHead
 from helpers.forwarding_path import MODEL, forwarding_setup
 from helpers.raw_endpoints import raw_endpoints, read_request
 
@@ -245,6 +245,14 @@
         checker.feed(whole[start : start + size])
 
 
+# The cost of each interim response grew with the bytes that followed it.
+def test_a_few_interim_responses_pass_and_very_many_do_not():
+    interim, final = b"HTTP/1.1 102 X\r\n\r\n", b"HTTP/1.1 200 X\r\n\r\n"
+    HeadChecker().feed((MAX_INTERIM - 1) * interim + final)
+    with pytest.raises(MalformedHead):
+        HeadChecker().feed((MAX_INTERIM + 1) * interim + final)
+
+
 @pytest.mark.parametrize("size", [1, 7, 1000])
 def test_a_malformed_head_after_an_interim_one_is_found(size):
     whole = b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 X\r\n\r\n"
