--- a/tests/helpers/node_processes.py
+++ b/tests/helpers/node_processes.py
@@ -1,7 +1,6 @@
 """Entries and agents as processes of their own, with the platform in this process."""
 
 import asyncio
-import signal
 import sys
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -86,9 +85,6 @@
                 process.kill()
             await process.wait()
 
-    def hang_up(self, name):
-        self.running[name].send_signal(signal.SIGHUP)
-
     def log(self, name):
         return (self.folder / f"{name}.log").read_text()
 
--- a/tests/helpers/presence_fleet.py
+++ b/tests/helpers/presence_fleet.py
@@ -15,7 +15,6 @@
 from helpers.forwarding import at, configuration, decode, listed
 from helpers.members import member_context
 
-STEP_S = 0.05
 REPORT_S = 0.2
 TOLERANCE = RateTolerance(overage=0.25, slack=20.0)
 WORKSPACE = Workspace("w", ("key",), rate=10.0, burst=20.0, counts_tokens=False)
@@ -106,7 +105,7 @@
         """The entries that are not under test."""
         return self.names[1:]
 
-    def start(self, *names, seeds=None):
+    def start(self, *names):
         """Start processes, each in place of the one of its name."""
         for name in names:
             self._starts += 1
@@ -123,7 +122,7 @@
                 incarnation=incarnation,
                 documents=self._documents,
                 workspace=WORKSPACE,
-                seeds=self.seeds if seeds is None else seeds,
+                seeds=self.seeds,
             )
             attach(self.network, name, entry.process, entry.core.context)
             self.nodes[name] = entry
