--- a/packages/ebonyglade-lab/src/ebonyglade_lab/standins/server.py
+++ b/packages/ebonyglade-lab/src/ebonyglade_lab/standins/server.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 LOOPBACK = "127.0.0.1"
+MAX_HEAD_BYTES = 64 * 1024  # of a request, and of each of its fields
 
 
 class StandIn(Service):
@@ -32,7 +33,13 @@
     async def on_start(self) -> None:
         """Start serving."""
         self._runner = web.AppRunner(
-            self.app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+            self.app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            max_headers=MAX_HEAD_BYTES,
         )
         await self._runner.setup()
         # Another socket can then hold the port when this one stops listening.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,9 @@
         "markers",
         "known_red: is expected to fail, for a known defect listed in KNOWN-RED.txt",
     )
+    config.addinivalue_line(
+        "markers", "crowd: many callers at one process; is run alone, after the rest"
+    )
 
 
 def pytest_collection_modifyitems(items):
--- a/tests/helpers/node_processes.py
+++ b/tests/helpers/node_processes.py
@@ -45,8 +45,11 @@
     ready_port: int = field(default_factory=free_port)
     running: dict = field(default_factory=dict)
 
-    def write_settings(self, name, seeds, app="", **bounds):
-        """Write the settings file of a process, as the platform does."""
+    def write_settings(self, name, seeds, app="", listen=None, **bounds):
+        """Write the settings file of a process, as the platform does.
+
+        `listen` has further settings of the section of that name.
+        """
         ip = ip_of(name)
         sections = {
             "instance": {
@@ -64,6 +67,7 @@
             sections["listen"] = {
                 "callers": f"{ip}:{self.callers}",
                 "ready": f"{ip}:{self.ready_port}",
+                **(listen or {}),
             }
         document = settings(model, self.store, **sections).model_dump(mode="json")
         document["bounds"] |= bounds
