Give the memory that is held for bodies a module of its own

Cause: the account of memory is to serve requests' bodies, too, and stood in the module that reads responses.

Change: BufferBudget, BufferLease and their sizes are in buffers.py; nothing else changes. The tests of answers' limits and of completeness pass.

--- a/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
+++ b/packages/ebonyglade-agent/src/ebonyglade_agent/engine.py
@@ -10,7 +10,8 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from ebonyglade.bodies import KIB, MIB, read_document, read_lines
+from ebonyglade.bodies import read_document, read_lines
+from ebonyglade.buffers import KIB, MIB
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.ports import (
     DecodeJob,
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -11,7 +11,7 @@
 from pydantic_core import to_json
 from result import Err, Ok, Result
 
-from ebonyglade.bodies import BufferLease
+from ebonyglade.buffers import BufferLease
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import (
     CompleteResponse,
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -18,7 +18,8 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from ebonyglade.bodies import MIB, read_document
+from ebonyglade.bodies import read_document
+from ebonyglade.buffers import MIB
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
 from ebonyglade_node.http_bodies import (
--- a/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
@@ -11,7 +11,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from ebonyglade.bodies import KIB, Body
+from ebonyglade.bodies import Body
+from ebonyglade.buffers import KIB
 from ebonyglade.completeness import Ending, Framing, IncompleteResponse
 from ebonyglade_node.http_heads import HeadChecker, MalformedHead
 
--- a/packages/ebonyglade-node/src/ebonyglade_node/platform.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/platform.py
@@ -16,7 +16,8 @@
 import msgspec
 from mode import Service
 
-from ebonyglade.bodies import MIB, read_document
+from ebonyglade.bodies import read_document
+from ebonyglade.buffers import MIB
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.config.controller import ConfigController
 from ebonyglade.config.relay import Relay
--- a/packages/ebonyglade/src/ebonyglade/bodies.py
+++ b/packages/ebonyglade/src/ebonyglade/bodies.py
@@ -1,8 +1,9 @@
 """Reading of response bodies to their end, independent of how they are received."""
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from ebonyglade.buffers import DEFAULT_BUFFERED_BYTES, MIB, BufferLease
 from ebonyglade.completeness import (
     Content,
     Ending,
@@ -11,11 +12,6 @@
     is_complete,
 )
 
-KIB = 1024
-MIB = 1024 * KIB
-# Held for every request, so that a few large answers do not take the memory of all.
-ALWAYS_GRANTED_BYTES = 16 * KIB
-
 
 @dataclass(frozen=True, slots=True)
 class BodyLimits:
@@ -30,55 +26,12 @@
 
     document_bytes: int = 8 * MIB
     event_bytes: int = MIB
-    buffered_bytes: int = 32 * MIB
+    buffered_bytes: int = DEFAULT_BUFFERED_BYTES
 
 
 DEFAULT_LIMITS = BodyLimits()
 
 
-@dataclass(slots=True)
-class BufferBudget:
-    """Memory for bodies that a process holds, over all of its requests.
-
-    Attributes:
-        max_bytes: most bytes to hold.
-        used: bytes that are held.
-        peak: most bytes that were held at a time.
-    """
-
-    max_bytes: int = DEFAULT_LIMITS.buffered_bytes
-    used: int = 0
-    peak: int = 0
-
-
-@dataclass(slots=True)
-class BufferLease:
-    """One request's part of the memory for bodies; released at its end.
-
-    Attributes:
-        budget: memory of the process.
-        held: bytes that this request holds.
-    """
-
-    budget: BufferBudget = field(default_factory=BufferBudget)
-    held: int = 0
-
-    def hold(self, size: int) -> bool:
-        """Change the bytes held; False if there is no memory for more."""
-        used = self.budget.used + size - self.held
-        small = size <= max(self.held, ALWAYS_GRANTED_BYTES)
-        if used > self.budget.max_bytes and not small:
-            return False
-        self.budget.used = used
-        self.budget.peak = max(self.budget.peak, used)
-        self.held = size
-        return True
-
-    def release(self) -> None:
-        """Release all bytes."""
-        self.hold(0)
-
-
 @dataclass(slots=True)
 class Body:
     """Body of a response whose headers have arrived; it is read once.
--- a/packages/ebonyglade/src/ebonyglade/forward/call.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/call.py
@@ -7,7 +7,8 @@
 
 from result import Result
 
-from ebonyglade.bodies import Body, BufferLease
+from ebonyglade.bodies import Body
+from ebonyglade.buffers import BufferLease
 from ebonyglade.forward.retries.arrivals import RequestArrivals
 from ebonyglade.forward.types import (
     ControlCall,
--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -11,7 +11,8 @@
 from result import Err
 
 from ebonyglade.audit import AuditTrail
-from ebonyglade.bodies import DEFAULT_LIMITS, BodyLimits, BufferBudget
+from ebonyglade.bodies import DEFAULT_LIMITS, BodyLimits
+from ebonyglade.buffers import BufferBudget
 from ebonyglade.context import Context
 from ebonyglade.forward.adapter import Adapter
 from ebonyglade.forward.attempts import AttemptSender
--- a/packages/ebonyglade/src/ebonyglade/forward/streams.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/streams.py
@@ -3,7 +3,8 @@
 import logging
 from dataclasses import dataclass, field
 
-from ebonyglade.bodies import BufferLease, require_size
+from ebonyglade.bodies import require_size
+from ebonyglade.buffers import BufferLease
 from ebonyglade.completeness import Ending, IncompleteResponse
 from ebonyglade.forward.call import EndpointResponse, ForwardCall
 from ebonyglade.forward.events import EventSplitter, contains_event
--- a/tests/forward/test_completeness.py
+++ b/tests/forward/test_completeness.py
@@ -6,7 +6,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from ebonyglade.bodies import Body, BufferLease, read_document, read_lines
+from ebonyglade.bodies import Body, read_document, read_lines
+from ebonyglade.buffers import BufferLease
 from ebonyglade.completeness import (
     Content,
     Ending,
