--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -21,11 +21,12 @@
 )
 from ebonyglade.forward.entry import ForwardEntry
 from ebonyglade.verdict import Refusal, refuse
-from ebonyglade_entry.connections import BACKLOG, CallerListener
 from ebonyglade_entry.cutting import cut_response
 from ebonyglade_entry.drain import RequestDrainer, ServingState
 from ebonyglade_entry.forwarding.settings import ListenSection
 from ebonyglade_entry.forwarding.where import WhereQuery
+from ebonyglade_node.callers.limits import ConnectionLimits
+from ebonyglade_node.callers.listener import CallerListener
 from ebonyglade_node.forward_node import ForwardNode
 
 logger = logging.getLogger(__name__)
@@ -33,7 +34,6 @@
 # Limit of aiohttp's parser for the request line and for each header field; higher than
 # any published limit.
 PARSER_LIMIT_BYTES = 64 * 1024
-KEEPALIVE_TIMEOUT_S = 75.0  # idle time after which a caller's connection is closed
 WRITE_PART_BYTES = 64 * 1024  # of a large body, written at a time
 CALLER_STALL_S = 10.0  # for a caller to read another part of a large body
 BODY_TIMEOUT_S = 10.0  # for the whole request body
@@ -62,8 +62,10 @@
         self._section = section
         self._node = node
         self._entry = entry
-        self._runners: list[web.AppRunner] = []
-        self._listener: CallerListener | None = None
+        self._callers = self._new_listener(
+            self._callers_app(), section.callers, section.max_connections
+        )
+        self._probes = self._probe_listeners()
         self._active_handlers: set[web.RequestHandler] = set()
         self._stop_limits: set[asyncio.Timeout] = set()
         drain_s = grace_s - BALANCER_DELAY_S - CLOSE_S - EXIT_S
@@ -71,18 +73,13 @@
 
     async def on_start(self) -> None:
         """Start to listen for callers, the load balancer and metrics."""
-        callers = await self._new_runner(self._callers_app())
-        self._listener = CallerListener(callers, self._section.callers)
-        await self._listener.start()
-        await self._listen(self._ready_app(), self._section.ready)
-        if self._section.metrics_port:
-            address = self._section.metrics_address
-            await self._listen(self._metrics_app(), address)
+        for listener in (self._callers, *self._probes):
+            await listener.start()
 
     async def on_stop(self) -> None:
         """Stop listening."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in (self._callers, *self._probes):
+            await listener.stop()
 
     async def drain(self) -> None:
         """Report not ready, refuse new requests, then finish the active ones.
@@ -100,14 +97,14 @@
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + CLOSE_S
-        await self._listener.stop_accepting()
-        while self._listener.open_connections and loop.time() < ends_at - ANSWER_S:
+        await self._callers.stop_accepting()
+        while self._callers.open_connections and loop.time() < ends_at - ANSWER_S:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            await self._listener.close_idle(self._active_handlers)
+            await self._callers.close_idle(self._active_handlers)
         logger.info(
             "connections closed",
             extra={
-                "left_open": self._listener.open_connections,
+                "left_open": self._callers.open_connections,
                 "refused_active": len(self._stop_limits),
             },
         )
@@ -115,24 +112,34 @@
             limit.reschedule(loop.time())
         await asyncio.sleep(max(0.0, ends_at - loop.time()) if self._stop_limits else 0)
 
-    async def _new_runner(self, app: web.Application) -> web.AppRunner:
-        runner = web.AppRunner(
+    def _new_listener(
+        self, app: web.Application, address: str, connections: int
+    ) -> CallerListener:
+        limits = ConnectionLimits(
+            connections,
+            self._section.head_timeout_s,
+        )
+        max_files = self._node.settings.instance.max_files
+        return CallerListener(
             app,
-            access_log=None,
+            address,
+            limits.within_descriptors(max_files),
+            self._node.metrics.count,
             max_line_size=PARSER_LIMIT_BYTES,
             max_field_size=PARSER_LIMIT_BYTES,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             auto_decompress=False,
         )
-        await runner.setup()
-        self._runners.append(runner)
-        return runner
-
-    async def _listen(self, app: web.Application, address: str) -> None:
-        runner = await self._new_runner(app)
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+
+    def _probe_listeners(self) -> list[CallerListener]:
+        """Return the listeners for the load balancer and, if set, for metrics."""
+        section = self._section
+        apps = [(self._ready_app(), section.ready)]
+        if section.metrics_port:
+            apps.append((self._metrics_app(), section.metrics_address))
+        return [
+            self._new_listener(app, address, section.max_probe_connections)
+            for app, address in apps
+        ]
 
     def _callers_app(self) -> web.Application:
         # The body limit depends on the configuration; `_read_body` checks it.
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/settings.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/settings.py
@@ -15,12 +15,20 @@
         ready: "IP:port" where the load balancer polls readiness.
         metrics_port: TCP port of the metrics; 0 for none.
         max_requests: maximum number of active requests.
+        max_connections: maximum number of open connections of callers; no more than
+            half of the descriptors of the process are used. Above it, the one whose
+            request has been incomplete, or which has been idle, for longest is closed.
+        max_probe_connections: the same at `ready` and at the metrics, each.
+        head_timeout_s: seconds in which the head of a request must arrive completely.
     """
 
     callers: str
     ready: str
     metrics_port: int = Field(default=0, ge=0, le=65535)
     max_requests: int = Field(default=2000, gt=0)
+    max_connections: int = Field(default=1500, gt=0)
+    max_probe_connections: int = Field(default=64, gt=0)
+    head_timeout_s: float = Field(default=5.0, gt=0)
 
     @property
     def metrics_address(self) -> str:
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
@@ -18,6 +18,8 @@
 from ebonyglade_entry.cutting import cut_response
 from ebonyglade_entry.drain import RequestDrainer, ServingState
 from ebonyglade_entry.settings import HttpSection
+from ebonyglade_node.callers.limits import ConnectionLimits
+from ebonyglade_node.callers.listener import CallerListener
 from ebonyglade_node.runtime import Node, loop_clock
 
 logger = logging.getLogger(__name__)
@@ -34,13 +36,13 @@
         self._section = section
         self._node = node
         self._handler = handler
-        self._runner: web.AppRunner | None = None
+        self._listener: CallerListener | None = None
         self.drainer = RequestDrainer(section.leave_s, section.drain_s)
 
     @property
     def port(self) -> int:
         """TCP port that callers use, once started."""
-        return self._runner.addresses[0][1]
+        return self._listener.port
 
     async def on_start(self) -> None:
         """Start to listen for callers."""
@@ -48,27 +50,27 @@
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
         app.router.add_route("*", "/{path:.*}", self._handle_request)
-        parser_limit = self._section.max_header_bytes * PARSER_LIMIT_FACTOR
-        self._runner = web.AppRunner(
+        section = self._section
+        parser_limit = section.max_header_bytes * PARSER_LIMIT_FACTOR
+        limits = ConnectionLimits(
+            section.max_connections,
+            section.head_timeout_s,
+        )
+        self._listener = CallerListener(
             app,
-            access_log=None,
+            f"{section.host}:{section.port}",
+            limits.within_descriptors(),
+            self._node.metrics.count,
+            _tls_context(section),
             max_line_size=parser_limit,
             max_field_size=parser_limit,
-            handler_cancellation=True,
-        )
-        await self._runner.setup()
-        site = web.TCPSite(
-            self._runner,
-            self._section.host,
-            self._section.port,
-            ssl_context=_tls_context(self._section),
         )
-        await site.start()
+        await self._listener.start()
 
     async def on_stop(self) -> None:
         """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.stop()
 
     async def _health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/settings.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/settings.py
@@ -18,6 +18,10 @@
         body_timeout_s: seconds in which a request body must arrive completely.
         write_timeout_s: seconds in which a caller must read an event of a stream.
         max_requests: maximum number of active requests.
+        max_connections: maximum number of open connections; no more than half of the
+            descriptors of the process are used. Above it, the one whose request has
+            been incomplete, or which has been idle, for longest is closed.
+        head_timeout_s: seconds in which the head of a request must arrive completely.
         drain_s: seconds that a shutdown waits for active requests.
         leave_s: seconds between reporting not ready and refusing new requests.
     """
@@ -31,6 +35,8 @@
     body_timeout_s: float = Field(default=30.0, gt=0)
     write_timeout_s: float = Field(default=30.0, gt=0)
     max_requests: int = Field(default=10_000, gt=0)
+    max_connections: int = Field(default=10_000, gt=0)
+    head_timeout_s: float = Field(default=5.0, gt=0)
     drain_s: float = Field(default=120.0, gt=0)
     leave_s: float = Field(default=3.0, ge=0)
 
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' HTTP connections: listening, limits, and closing in order."""
--- /dev/null
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
@@ -0,0 +1,133 @@
+"""One caller's HTTP connection, which is given up when its caller takes too much."""
+
+import asyncio
+import logging
+
+from aiohttp import StreamReader, web
+
+from ebonyglade.callers.connection_table import CallerConnection, Progress
+from ebonyglade_node.callers.limits import ConnectionPolicy
+
+logger = logging.getLogger(__name__)
+
+
+class LimitedHandler(web.RequestHandler):
+    """Follows what has arrived of a caller's requests, and limits it.
+
+    Args:
+        server: the application's server.
+        policy: what holds for all connections at its address.
+        options: options of aiohttp's handler.
+    """
+
+    def __init__(
+        self,
+        server: web.Server,
+        policy: ConnectionPolicy,
+        **options: object,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(server, loop=loop, **options)
+        self._policy = policy
+        self._table = policy.table
+        self._connection = CallerConnection(self._close_for_others)
+        self._last_body: StreamReader | None = None
+        # What has arrived since the last content or the end of the last head.
+        self._field_bytes = 0
+        self._content_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection, for which another one may have to be closed."""
+        super().connection_made(transport)
+        first = self._table.add(self._connection)
+        if first is not None:
+            first.close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self._table.remove(self._connection)
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrives, and follow how far its request is."""
+        requests = self._request_count
+        super().data_received(data)
+        self._follow(data, self._request_count - requests)
+
+    async def finish_response(
+        self, request: web.BaseRequest, *arguments: object
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response; the connection may be idle after it."""
+        finished = await super().finish_response(request, *arguments)
+        self._follow(b"", 0, answered=True)
+        return finished
+
+    def _follow(self, data: bytes, heads: int, answered: bool = False) -> None:
+        """Set the connection's progress.
+
+        Args:
+            data: bytes that have arrived.
+            heads: number of heads that they completed.
+            answered: whether the request before them was answered.
+        """
+        if heads:
+            self._last_body = self._messages[-1][1]
+        body_missing = self._last_body is not None and not self._last_body.is_eof()
+        self._count_fields(data, heads)
+        if body_missing:
+            progress = Progress.BODY_MISSING
+        elif self._messages or (self._current_request is not None and not answered):
+            progress = Progress.ACTIVE
+        elif self._field_bytes:
+            progress = Progress.NO_REQUEST
+        elif answered or self._connection.progress is Progress.BODY_MISSING:
+            progress = Progress.IDLE
+        else:
+            progress = self._connection.progress
+        if self.transport is not None:
+            self._table.move(self._connection, progress)
+            self._limit_fields()
+
+    def _count_fields(self, data: bytes, heads: int) -> None:
+        """Count bytes of a head that is not complete, or of trailers.
+
+        They are not told from the framing of chunks, which content follows.
+        """
+        content = self._last_body.total_bytes if self._last_body is not None else 0
+        if heads or content != self._content_bytes:
+            self._field_bytes = 0
+        else:
+            self._field_bytes += len(data)
+        self._content_bytes = content
+
+    def _limit_fields(self) -> None:
+        """Limit the time of a head."""
+        if self._connection.progress is not Progress.NO_REQUEST:
+            self._stop_head_timer()
+        elif self._field_bytes and self._head_timer is None:
+            self._head_timer = self._loop.call_later(
+                self._policy.limits.head_s, self._give_up, "head_late"
+            )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _close_for_others(self) -> None:
+        self._give_up("connections")
+
+    def _give_up(self, reason: str) -> None:
+        """Close the connection at once, also with bytes that are not yet written."""
+        transport = self.transport
+        if transport is None:
+            return
+        self._policy.count(f"callers_given_up_{reason}")
+        logger.info(
+            "caller's connection given up",
+            extra={"reason": reason, "progress": self._connection.progress.name},
+        )
+        self._table.remove(self._connection)
+        transport.abort()
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/connections.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/listener.py
@@ -6,34 +6,62 @@
 """
 
 import asyncio
-import logging
 import select
 import socket
-from collections.abc import Collection
+import ssl
+from collections.abc import Callable, Collection
 from contextlib import suppress
 
 from aiohttp import web
 
-logger = logging.getLogger(__name__)
+from ebonyglade_node.callers.connection import LimitedHandler
+from ebonyglade_node.callers.limits import ConnectionLimits, ConnectionPolicy
 
 BACKLOG = 512  # connections that the system keeps until they are accepted
+# Accepted at a time, so that those that must be closed for them are closed meanwhile.
+ACCEPT_BATCH = 16
 # Time in which requests that were read reach their handlers, also in a busy process.
 DISPATCH_S = 0.05
 
 
 class CallerListener:
-    """Accepts callers' connections for a runner, and closes them in order.
+    """Serves an application at one address, and closes its connections in order.
 
     Args:
-        runner: the runner of the HTTP application; set up.
-        address: "IP:port" to listen on.
+        app: the HTTP application.
+        address: "IP:port" to listen on; port 0 for any free one.
+        limits: limits of the connections.
+        count: adds to a named counter.
+        tls: context of TLS; None for plain HTTP.
+        options: options of aiohttp's runner.
     """
 
-    def __init__(self, runner: web.AppRunner, address: str) -> None:
-        self._runner = runner
+    def __init__(
+        self,
+        app: web.Application,
+        address: str,
+        limits: ConnectionLimits,
+        count: Callable[[str], None],
+        tls: ssl.SSLContext | None = None,
+        **options: object,
+    ) -> None:
+        self._runner = web.AppRunner(app, handler_cancellation=True)
         self._address = address
+        self._policy = ConnectionPolicy(limits, count)
+        self._tls = tls
+        self._options = {
+            "access_log": None,
+            "keepalive_timeout": limits.keepalive_s,
+            **options,
+        }
         self._socket: socket.socket | None = None
-        self._site: web.SockSite | None = None
+        self._server: asyncio.Server | None = None
+        self._port = 0
+
+    @property
+    def port(self) -> int:
+        """TCP port, once started."""
+        return self._port
 
     @property
     def open_connections(self) -> int:
@@ -46,20 +74,33 @@
         Raises:
             OSError: the address can't be used.
         """
+        await self._runner.setup()
         host, _, port = self._address.rpartition(":")
-        self._socket = socket.create_server((host, int(port)), backlog=BACKLOG)
+        host = host.strip("[]")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.create_server((host, int(port)), family=family)
         self._socket.setblocking(False)
-        self._site = web.SockSite(self._runner, self._socket, backlog=BACKLOG)
-        await self._site.start()
+        self._port = self._socket.getsockname()[1]
+        self._server = await asyncio.get_running_loop().create_server(
+            self._new_handler, sock=self._socket, ssl=self._tls, backlog=ACCEPT_BATCH
+        )
+        # asyncio accepts as many at a time as it lets the system keep.
+        self._socket.listen(BACKLOG)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        await self._runner.cleanup()
 
     async def stop_accepting(self) -> None:
         """Accept what is in the backlog, then close the listening socket.
 
         Closing resets connections in the backlog, also those with a complete request.
         """
-        if self._site is None:
+        if self._server is None:
             return
-        site, self._site = self._site, None
+        server, self._server = self._server, None
         loop = asyncio.get_running_loop()
         # asyncio drops connections whose transports are made after the server closed.
         loop.remove_reader(self._socket)
@@ -68,10 +109,12 @@
         with suppress(BlockingIOError):
             while True:
                 accepted.append(self._socket.accept()[0])
-        await site.stop()
+        server.close()
         for connection in accepted:
             connection.setblocking(False)
-            await loop.connect_accepted_socket(self._runner.server, connection)
+            await loop.connect_accepted_socket(
+                self._new_handler, connection, ssl=self._tls
+            )
 
     async def close_idle(self, active: Collection[web.RequestHandler]) -> None:
         """Close the connections on which no request is active or has arrived.
@@ -98,6 +141,9 @@
             else:
                 handler.force_close()
 
+    def _new_handler(self) -> LimitedHandler:
+        return LimitedHandler(self._runner.server, self._policy, **self._options)
+
 
 def _has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
     poll = select.poll()
--- a/packages/ebonyglade-node/src/ebonyglade_node/settings.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/settings.py
@@ -126,10 +126,12 @@
     Attributes:
         host: IP number to listen on.
         port: TCP port; zero for any free one, which `explain` and `audit` can't find.
+        max_connections: maximum number of open connections.
     """
 
     host: str = "127.0.0.1"
     port: int = Field(default=0, ge=0, le=65535)
+    max_connections: int = Field(default=64, gt=0)
 
 
 class OwnershipSection(Section):
--- a/packages/ebonyglade-node/src/ebonyglade_node/status.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/status.py
@@ -4,6 +4,8 @@
 from mode import Service
 
 from ebonyglade.audit import AuditRecord
+from ebonyglade_node.callers.limits import ConnectionLimits
+from ebonyglade_node.callers.listener import CallerListener
 from ebonyglade_node.runtime import Node
 from ebonyglade_node.settings import StatusSection
 
@@ -15,12 +17,12 @@
         super().__init__()
         self._section = section
         self._node = node
-        self._runner: web.AppRunner | None = None
+        self._listener: CallerListener | None = None
 
     @property
     def port(self) -> int:
         """TCP port that the server listens on, once started."""
-        return self._runner.addresses[0][1]
+        return self._listener.port
 
     async def on_start(self) -> None:
         """Start to listen."""
@@ -29,15 +31,20 @@
         app.router.add_get("/metrics", self._metrics)
         app.router.add_get("/explain", self._explain)
         app.router.add_get("/audit", self._audit)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, self._section.host, self._section.port)
-        await site.start()
+        section = self._section
+        limits = ConnectionLimits(section.max_connections).within_descriptors()
+        self._listener = CallerListener(
+            app,
+            f"{section.host}:{section.port}",
+            limits,
+            self._node.metrics.count,
+        )
+        await self._listener.start()
 
     async def on_stop(self) -> None:
         """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._listener is not None:
+            await self._listener.stop()
 
     async def _health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
--- /dev/null
+++ b/packages/ebonyglade/src/ebonyglade/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What callers' connections may take of a process, and which are closed first."""
--- a/tests/crowds/test_crowds_at_an_entry.py
+++ b/tests/crowds/test_crowds_at_an_entry.py
@@ -130,7 +130,6 @@
         await check(entry, entry.callers, crowd, case)
 
 
-@red
 @each(DOORS)
 @pytest.mark.parametrize("crowd", CONNECTIONS.values(), ids=CONNECTIONS.keys())
 async def test_connections_leave_descriptors_free(tmp_path, crowd, case, request):
