--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
@@ -5,11 +5,16 @@
 
 from aiohttp import StreamReader, web
 
+from ebonyglade.buffers import KIB
 from ebonyglade.callers.connection_table import CallerConnection, Progress
 from ebonyglade_node.callers.limits import ConnectionPolicy
+from ebonyglade_node.callers.pacer import COSTLY_LINES, COSTLY_READ_BYTES
 
 logger = logging.getLogger(__name__)
 
+READ_BYTES = 16 * KIB  # read from the system at a time
+BODY_AHEAD_BYTES = 8 * KIB  # after twice so much of an unread body, reading pauses
+
 
 class LimitedHandler(web.RequestHandler):
     """Follows what has arrived of a caller's requests, and limits it.
@@ -27,7 +32,7 @@
         **options: object,
     ) -> None:
         loop = asyncio.get_running_loop()
-        super().__init__(server, loop=loop, **options)
+        super().__init__(server, loop=loop, read_bufsize=BODY_AHEAD_BYTES, **options)
         self._policy = policy
         self._table = policy.table
         self._connection = CallerConnection(self._close_for_others)
@@ -40,6 +45,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection, for which another one may have to be closed."""
         super().connection_made(transport)
+        transport.max_size = READ_BYTES
         first = self._table.add(self._connection)
         if first is not None:
             first.close()
@@ -55,6 +61,15 @@
         requests = self._request_count
         super().data_received(data)
         self._follow(data, self._request_count - requests)
+        if self.transport is not None and data.count(b"\n") > COSTLY_LINES:
+            self.transport.max_size = COSTLY_READ_BYTES
+            self._pause_reading_for_buffer()
+            self._policy.pacer.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Read on, unless too many requests are queued."""
+        if len(self._messages) < self._max_msg_queue_size:
+            self._resume_reading_for_buffer()
 
     async def finish_response(
         self, request: web.BaseRequest, *arguments: object
--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/limits.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/limits.py
@@ -6,6 +6,7 @@
 
 from ebonyglade.buffers import KIB
 from ebonyglade.callers.connection_table import ConnectionTable
+from ebonyglade_node.callers.pacer import Pacer
 
 # Of the descriptors of a process, for callers; endpoints, the store and other
 # processes need the rest.
@@ -53,11 +54,13 @@
     Attributes:
         limits: their limits.
         count: adds to a named counter.
+        pacer: turns of connections whose bytes are costly to parse.
         table: the connections.
     """
 
     limits: ConnectionLimits
     count: Callable[[str], None]
+    pacer: Pacer = field(default_factory=Pacer)
     table: ConnectionTable = field(init=False)
 
     def __post_init__(self) -> None:
