--- a/tests/crowds/test_crowds_at_an_entry.py
+++ b/tests/crowds/test_crowds_at_an_entry.py
@@ -120,7 +120,6 @@
 
 
 # Each of them counted as an active request, so that ordinary ones were refused.
-@red
 @each(PATHS)
 async def test_bodies_that_do_not_end_are_no_active_requests(tmp_path, case):
     crowd = Crowd(60, lambda target: body_but_a_byte(target, 10))
