--- /dev/null
+++ b/tests/crowds/test_crowds_at_the_own_interface.py
@@ -0,0 +1,89 @@
+"""Crowds of callers that don't behave, at the doors of an entry's own interface.
+
+Whatever they send, the process lives, stays within the memory of its machine and keeps
+descriptors for itself, and an ordinary request is answered while they are there.
+"""
+
+import pytest
+
+from helpers.crowded_fleet import AUTHORIZATION, crowded_fleet_entry
+from helpers.crowds import (
+    DESCRIPTORS,
+    FREE_DESCRIPTORS,
+    MEMORY_BYTES,
+    Crowd,
+    Target,
+    body_but_a_byte,
+    chunks,
+    crowd_at,
+    half_head,
+    head_without_end,
+    nothing,
+    trailers_without_end,
+)
+
+pytestmark = pytest.mark.crowd
+
+PATHS = {
+    "service": Target("/bookings", key=AUTHORIZATION),
+    "model": Target("/v1/completions", key=AUTHORIZATION),
+    "no route": Target("/none", key=AUTHORIZATION),
+    "unknown key": Target("/bookings", key="Authorization: Bearer other"),
+    "no key": Target("/bookings", key=""),
+    "ready": Target("/readyz", key=""),
+}
+BODIES = {
+    "whole but a byte": Crowd(60, body_but_a_byte),
+    "chunks of 2": Crowd(100, chunks(2, 60_000)),
+}
+LONG = {
+    "head": Crowd(200, head_without_end(size=8000)),
+    "trailers": Crowd(200, trailers_without_end(size=8000)),
+}
+CONNECTIONS = {"half heads": Crowd(400, half_head), "nothing": Crowd(400, nothing)}
+DOORS = {"callers": Target("/readyz", key=""), "status": Target("/healthz", key="")}
+
+
+def each(cases):
+    return pytest.mark.parametrize("case", cases.values(), ids=cases.keys())
+
+
+async def check(entry, address, crowd, target):
+    """Check what holds while a crowd is at an address of an entry."""
+    async with crowd_at(address, crowd, target, entry.watch):
+        served = await entry.serves()
+    assert entry.watch.alive
+    assert entry.watch.peak_bytes <= MEMORY_BYTES
+    assert served
+
+
+@each(PATHS)
+@pytest.mark.parametrize("crowd", BODIES.values(), ids=BODIES.keys())
+async def test_bodies_that_do_not_end(tmp_path, crowd, case):
+    with crowded_fleet_entry(tmp_path) as entry:
+        await check(entry, entry.callers, crowd, case)
+
+
+@each(DOORS)
+@pytest.mark.parametrize("crowd", LONG.values(), ids=LONG.keys())
+async def test_fields_without_end(tmp_path, crowd, case, request):
+    with crowded_fleet_entry(tmp_path) as entry:
+        door = request.node.callspec.id.rpartition("-")[2]
+        await check(entry, getattr(entry, door), crowd, case)
+
+
+# Each of them counted as an active request, so that ordinary ones were refused.
+@each(PATHS)
+async def test_bodies_that_do_not_end_are_no_active_requests(tmp_path, case):
+    crowd = Crowd(60, lambda target: body_but_a_byte(target, 10))
+    with crowded_fleet_entry(tmp_path, max_requests=50) as entry:
+        await check(entry, entry.callers, crowd, case)
+
+
+@each(DOORS)
+@pytest.mark.parametrize("crowd", CONNECTIONS.values(), ids=CONNECTIONS.keys())
+async def test_connections_leave_descriptors_free(tmp_path, crowd, case, request):
+    with crowded_fleet_entry(tmp_path, open_files=DESCRIPTORS) as entry:
+        door = request.node.callspec.id.rpartition("-")[2]
+        await check(entry, getattr(entry, door), crowd, case)
+        assert entry.watch.most_descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
