--- a/tests/crowds/test_crowds_at_the_own_interface.py
+++ b/tests/crowds/test_crowds_at_the_own_interface.py
@@ -10,12 +10,12 @@
 from helpers.crowds import (
     DESCRIPTORS,
     FREE_DESCRIPTORS,
-    MEMORY_BYTES,
     Crowd,
     Target,
     body_but_a_byte,
+    check,
     chunks,
-    crowd_at,
+    each,
     half_head,
     head_without_end,
     nothing,
@@ -44,19 +44,6 @@
 DOORS = {"callers": Target("/readyz", key=""), "status": Target("/healthz", key="")}
 
 
-def each(cases):
-    return pytest.mark.parametrize("case", cases.values(), ids=cases.keys())
-
-
-async def check(entry, address, crowd, target):
-    """Check what holds while a crowd is at an address of an entry."""
-    async with crowd_at(address, crowd, target, entry.watch):
-        served = await entry.serves()
-    assert entry.watch.alive
-    assert entry.watch.peak_bytes <= MEMORY_BYTES
-    assert served
-
-
 @each(PATHS)
 @pytest.mark.parametrize("crowd", BODIES.values(), ids=BODIES.keys())
 async def test_bodies_that_do_not_end(tmp_path, crowd, case):
--- a/tests/helpers/crowds.py
+++ b/tests/helpers/crowds.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from itertools import count
 
+import pytest
+
 from helpers.forwarding_path import MODEL
 
 # Limits of the platform's pages, which ordinary callers stay within.
@@ -231,6 +233,20 @@
         await asyncio.sleep(SAMPLE_S)
 
 
+def each(cases):
+    """Return the mark of a test that takes each of some named cases as `case`."""
+    return pytest.mark.parametrize("case", cases.values(), ids=cases.keys())
+
+
+async def check(entry, address, crowd, target):
+    """Check what holds while a crowd is at an address of an entry."""
+    async with crowd_at(address, crowd, target, entry.watch):
+        served = await entry.serves()
+    assert entry.watch.alive
+    assert entry.watch.peak_bytes <= MEMORY_BYTES
+    assert served
+
+
 @contextmanager
 def descriptors(limit):
     """Let processes that are started within this open so many descriptors."""
