--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/listener.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/listener.py
@@ -21,6 +21,9 @@
 BACKLOG = 512  # connections that the system keeps until they are accepted
 # Accepted at a time, so that those that must be closed for them are closed meanwhile.
 ACCEPT_BATCH = 16
+# For requests that are still active when all connections are closed. Who stops a
+# server has drained it before; what is left waits for its caller.
+STOP_S = 0.1
 # Time in which requests that were read reach their handlers, also in a busy process.
 DISPATCH_S = 0.05
 
@@ -48,7 +51,9 @@
         tls: ssl.SSLContext | None = None,
         **options: object,
     ) -> None:
-        self._runner = web.AppRunner(app, handler_cancellation=True)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=STOP_S
+        )
         self._address = address
         self._policy = ConnectionPolicy(limits, count, buffers)
         self._tls = tls
--- a/tests/crowds/test_crowds_at_an_entry.py
+++ b/tests/crowds/test_crowds_at_an_entry.py
@@ -4,6 +4,9 @@
 descriptors for itself, and an ordinary request is answered while they are there.
 """
 
+import asyncio
+from contextlib import suppress
+
 import pytest
 
 from ebonyglade.completeness import Framing
@@ -17,6 +20,7 @@
     body_but_a_byte,
     check,
     chunks,
+    crowd_at,
     each,
     half_head,
     head_without_end,
@@ -59,6 +63,12 @@
     "trailers": Crowd(40, trailers_without_end()),
 }
 CONNECTIONS = {"half heads": Crowd(400, half_head), "nothing": Crowd(400, nothing)}
+STOPPED_BESIDE = {
+    "bodies": BODIES["whole but a byte"],
+    "answers": UNREAD["answers of the limit"],
+    "half heads": CONNECTIONS["half heads"],
+}
+GRACE_S = 8.0  # of the platform; the entry's settings have 5 s
 DOORS = {
     "callers": Target(),
     "ready": Target("/ready"),
@@ -117,3 +127,20 @@
         door = request.node.callspec.id.rpartition("-")[2]
         await check(entry, getattr(entry, door), crowd, case)
         assert entry.watch.most_descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
+
+
+# Who kept a body waiting kept the process for 10 s after the end of its stop. The platform
+# sends SIGKILL at the end of the grace period.
+@each(STOPPED_BESIDE)
+async def test_a_planned_stop_ends_by_itself(tmp_path, case):
+    async with (
+        crowded_entry(tmp_path) as entry,
+        crowd_at(entry.callers, case, SERVED, entry.watch),
+    ):
+        entry.process.terminate()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_S):
+                await entry.process.wait()
+        if entry.process.returncode is None:
+            entry.process.kill()
+        assert await entry.process.wait() == 0
