--- a/tests/crowds/test_crowds_at_an_entry.py
+++ b/tests/crowds/test_crowds_at_an_entry.py
@@ -129,8 +129,8 @@
         assert entry.watch.most_descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
 
 
-# Who kept a body waiting kept the process for 10 s after the end of its stop. The platform
-# sends SIGKILL at the end of the grace period.
+# Who kept a body waiting kept the process for 10 s after the end of its stop. The
+# platform sends SIGKILL at the end of the grace period.
 @each(STOPPED_BESIDE)
 async def test_a_planned_stop_ends_by_itself(tmp_path, case):
     async with (
