--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/listener.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/listener.py
@@ -8,9 +8,9 @@
 import asyncio
 import select
 import socket
-import ssl
 from collections.abc import Callable, Collection
 from contextlib import suppress
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -18,6 +18,10 @@
 from ebonyglade_node.callers.connection import LimitedHandler
 from ebonyglade_node.callers.limits import ConnectionLimits, ConnectionPolicy
 
+if TYPE_CHECKING:
+    # The forwarding entry starts without this module.
+    import ssl
+
 BACKLOG = 512  # connections that the system keeps until they are accepted
 # Accepted at a time, so that those that must be closed for them are closed meanwhile.
 ACCEPT_BATCH = 16
@@ -48,7 +52,7 @@
         limits: ConnectionLimits,
         count: Callable[[str], None],
         buffers: BufferBudget,
-        tls: ssl.SSLContext | None = None,
+        tls: "ssl.SSLContext | None" = None,
         **options: object,
     ) -> None:
         self._runner = web.AppRunner(
