--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
@@ -232,6 +232,8 @@
         )
         self._table.remove(self._connection)
         transport.abort()
+        if reason == "memory":
+            self._policy.release_soon()
 
 
 def _unread_bytes(body: StreamReader) -> int:
--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/limits.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/limits.py
@@ -1,5 +1,7 @@
 """Limits of callers' connections, as all HTTP servers of a process apply them."""
 
+import asyncio
+import gc
 import resource
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -11,6 +13,7 @@
 # Of the descriptors of a process, for callers; endpoints, the store and other
 # processes need the rest.
 CALLERS_SHARE = 0.5
+COLLECT_AFTER_S = 0.2  # between two collections while connections are given up
 UNLIMITED_FILES = 1_000_000  # stands for a process without a limit of descriptors
 
 
@@ -66,6 +69,21 @@
     buffers: BufferBudget
     pacer: Pacer = field(default_factory=Pacer)
     table: ConnectionTable = field(init=False)
+    _collects: bool = False
 
     def __post_init__(self) -> None:
         self.table = ConnectionTable(self.limits.connections)
+
+    def release_soon(self) -> None:
+        """Release what connections held that were given up for their memory.
+
+        Objects of a cancelled request refer to each other, so that only a collection
+        releases them. One serves all connections of some time.
+        """
+        if not self._collects:
+            self._collects = True
+            asyncio.get_running_loop().call_later(COLLECT_AFTER_S, self._collect)
+
+    def _collect(self) -> None:
+        self._collects = False
+        gc.collect()
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_client.py
@@ -19,11 +19,10 @@
 from yarl import URL
 
 from ebonyglade.bodies import read_document
-from ebonyglade.buffers import MIB
+from ebonyglade.buffers import KIB, MIB
 from ebonyglade.completeness import IncompleteResponse
 from ebonyglade.forward.types import ControlCall, ControlResponse, Headers
 from ebonyglade_node.http_bodies import (
-    READ_BYTES,
     StrictConnector,
     StrictResponseHandler,
     body_of,
@@ -37,6 +36,9 @@
 IDLE_MARGIN_S = 0.8  # reuse ends this long before the endpoint's Keep-Alive timeout
 MAX_REQUESTS = 256  # on one connection, which holds their ids
 MAX_HEADER_LINE_BYTES = 64 * 1024
+READ_AHEAD_BYTES = 256 * KIB
+# Streams whose callers do not read on are held at a pause, so that less is read ahead.
+STREAM_READ_AHEAD_BYTES = 8 * KIB
 MAX_CONTROL_BYTES = MIB  # reports and reservations have some kilobytes
 MAX_STORE_PAGE_BYTES = 16 * MIB  # a value has up to 1 MiB, a page some hundred of them
 # Headers that aiohttp would add where the caller sent none.
@@ -76,12 +78,15 @@
         reuse: whether the connection may be one that is open already, and another
             request may use it afterwards. It may not if a late second copy of a
             response would match the other request, too.
+        read_ahead: bytes of the response to read at a time; reading pauses after twice
+            as many that are not used.
         sent: whether a byte may have been sent.
     """
 
     request_id: str = ""
     may_send: Callable[[], bool] = field(default=lambda: True)
     reuse: bool = True
+    read_ahead: int = READ_AHEAD_BYTES
     sent: bool = False
 
 
@@ -186,6 +191,7 @@
             raise NotSent("aborted before the request was sent")
         attempt.sent = True
         conn.protocol.expect(attempt.request_id)
+        conn.transport.max_size = attempt.read_ahead
         if not attempt.reuse:
             conn.protocol.force_close()
         return await super().send(conn)
@@ -235,7 +241,6 @@
             timeout=aiohttp.ClientTimeout(total=None, connect=connect_timeout_s),
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
-            read_bufsize=READ_BYTES,
         )
         # aiohttp would retry requests with some methods by itself.
         self._session._retry_connection = False
@@ -271,6 +276,7 @@
                 URL(f"http://{address}{target}", encoded=True),
                 headers=headers,
                 data=body or None,
+                read_bufsize=attempt.read_ahead,
                 allow_redirects=False,
             )
         finally:
--- a/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/endpoint_port.py
@@ -22,6 +22,8 @@
 )
 from ebonyglade_node.endpoint_client import (
     CALL_ERRORS,
+    READ_AHEAD_BYTES,
+    STREAM_READ_AHEAD_BYTES,
     EndpointClient,
     NotSent,
     SendAttempt,
@@ -53,7 +55,13 @@
         # The decode that follows a prefill has the same id; without an id, any response
         # without one would match.
         reuse = bool(call.id) and not instructions.prefill_only
-        attempt = SendAttempt(call.id, partial(call.may_send, endpoint), reuse)
+        streams = call.metadata.prompt is not None and not instructions.prefill_only
+        attempt = SendAttempt(
+            call.id,
+            partial(call.may_send, endpoint),
+            reuse,
+            STREAM_READ_AHEAD_BYTES if streams else READ_AHEAD_BYTES,
+        )
         headers = self.adapter.request_headers(call.headers, instructions)
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
--- a/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/http_bodies.py
@@ -19,9 +19,6 @@
 logger = logging.getLogger(__name__)
 
 MAX_REASON_CHARS = 200
-# Read from the system at a time. Reading pauses after twice as much that is not used,
-# as when the caller of a stream does not read.
-READ_BYTES = 32 * KIB
 # Bytes of a response that are no content: its heads, and what frames its body. Sound
 # heads are far smaller, and a chunk of one byte has five or six bytes of framing.
 MAX_FRAMING_BYTES = 256 * KIB
@@ -50,11 +47,6 @@
         self._heads = HeadChecker()
         self._received_bytes = 0
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to use a connection."""
-        super().connection_made(transport)
-        transport.max_size = READ_BYTES
-
     def set_response_params(self, **options: object) -> None:
         """Begin to read the response to a request."""
         self._heads = HeadChecker()
@@ -129,6 +121,8 @@
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
+            # Nobody reads it any more.
+            payload._buffer.clear()
 
 
 class StrictConnector(aiohttp.TCPConnector):
