--- a/packages/ebonyglade-entry/src/ebonyglade_entry/settings.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/settings.py
@@ -38,7 +38,7 @@
     body_timeout_s: float = Field(default=30.0, gt=0)
     write_timeout_s: float = Field(default=30.0, gt=0)
     max_requests: int = Field(default=10_000, gt=0)
-    max_connections: int = Field(default=10_000, gt=0)
+    max_connections: int = Field(default=4000, gt=0)
     buffered_bytes: int = Field(default=DEFAULT_BUFFERED_BYTES, gt=0)
     head_timeout_s: float = Field(default=5.0, gt=0)
     drain_s: float = Field(default=120.0, gt=0)
--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
@@ -75,10 +75,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives, and follow how far its request is."""
-        requests = self._request_count
+        requests, content = self._request_count, self._content_bytes
         super().data_received(data)
-        self._follow(data, self._request_count - requests)
-        if self.transport is not None and data.count(b"\n") > COSTLY_LINES:
+        heads = self._request_count - requests
+        self._follow(data, heads)
+        content = self._content_bytes - (0 if heads else content)
+        if self.transport is not None and is_costly(data, content):
             self.transport.max_size = COSTLY_READ_BYTES
             self._pause_reading_for_buffer()
             self._policy.pacer.wait(self._take_turn)
@@ -136,7 +138,8 @@
         if heads:
             self._last_body = self._messages[-1][1]
         body_missing = self._last_body is not None and not self._last_body.is_eof()
-        self._count_fields(data, heads)
+        was_missing = self._connection.progress is Progress.BODY_MISSING
+        self._count_fields(data, heads, was_missing and not body_missing)
         if body_missing:
             progress = Progress.BODY_MISSING
         elif self._messages or (self._current_request is not None and not answered):
@@ -152,13 +155,13 @@
             self._limit_fields()
             self._charge()
 
-    def _count_fields(self, data: bytes, heads: int) -> None:
+    def _count_fields(self, data: bytes, heads: int, ends_body: bool) -> None:
         """Count bytes and lines of a head that is not complete, or of trailers.
 
         They are not told from the framing of chunks, which content follows.
         """
         content = self._last_body.total_bytes if self._last_body is not None else 0
-        if heads or content != self._content_bytes:
+        if heads or ends_body or content != self._content_bytes:
             self._field_bytes = self._field_lines = 0
         else:
             self._field_bytes += len(data)
@@ -236,6 +239,11 @@
             self._policy.release_soon()
 
 
+def is_costly(data: bytes, content: int) -> bool:
+    """Return whether bytes are mostly lines that are no content."""
+    return 2 * content < len(data) and data.count(b"\n") > COSTLY_LINES
+
+
 def _unread_bytes(body: StreamReader) -> int:
     return 0 if body is EMPTY_PAYLOAD else body._size
 
