Name the admission steps that a head decides once

Cause: check_head wrote the first three admission steps again, so that a step added to one list could be missed in the other.

Change: the steps that need only a head are a list of their own, which begins the list of all; one function runs either. No behaviour changes.

--- a/packages/ebonyglade/src/ebonyglade/forward/entry.py
+++ b/packages/ebonyglade/src/ebonyglade/forward/entry.py
@@ -219,10 +219,13 @@
         )
         # The steps run in this order; the first refusal ends the request.
         # `_take_tokens` must be the last one, since `_admit_with_wait` repeats only it.
-        self._admission_steps: tuple[AdmissionStep, ...] = (
+        self._head_steps: tuple[AdmissionStep, ...] = (
             self._check_configuration,
             self._find_route,
             self._authenticate,
+        )
+        self._admission_steps = (
+            *self._head_steps,
             self._choose_service,
             self._check_crashes,
             self._take_tokens,
@@ -334,11 +337,7 @@
         Returns:
             The refusal, or None if the request is admitted.
         """
-        for step in self._admission_steps:
-            refusal = step(call)
-            if refusal is not None:
-                return refusal
-        return None
+        return _first_refusal(self._admission_steps, call)
 
     def check_head(self, call: ForwardCall) -> Refusal | None:
         """Return the refusal that a request's head alone decides, if any.
@@ -346,11 +345,7 @@
         Admission asks again when the request is whole, as the configuration may change
         meanwhile.
         """
-        return (
-            self._check_configuration(call)
-            or self._find_route(call)
-            or self._authenticate(call)
-        )
+        return _first_refusal(self._head_steps, call)
 
     def explain(self, call: ForwardCall, workspace: str) -> Explanation:
         """Explain where a request would be sent now; nothing is sent or recorded.
@@ -542,6 +537,13 @@
         self.agent_client.retain(set(listed))
 
 
+def _first_refusal(
+    steps: tuple[AdmissionStep, ...], call: ForwardCall
+) -> Refusal | None:
+    """Run steps in their order; return the first refusal, or None."""
+    return next((refusal for step in steps if (refusal := step(call))), None)
+
+
 def _shared_parts(call: ForwardCall) -> tuple[str, ...]:
     """Return the keys of the parts that other requests may share: all but the last."""
     prompt = call.metadata.prompt
