Count uploads in the drainer, for both interfaces

Cause: both HTTP servers counted requests whose body is not whole beside the drainer's count of all, and subtracted it themselves; the connection handler had two values for no body.

Change: RequestDrainer counts uploads and tells how many requests are whole. The handler begins with the library's empty body. No behaviour changes.

--- a/packages/ebonyglade-entry/src/ebonyglade_entry/drain.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/drain.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 
 logger = logging.getLogger(__name__)
@@ -36,6 +38,7 @@
         self._last_started = float("-inf")
         self._state = ServingState.OPEN
         self._open_requests = 0
+        self._uploads = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -49,6 +52,23 @@
         """Number of active requests."""
         return self._open_requests
 
+    @property
+    def whole_requests(self) -> int:
+        """Number of active requests whose body is whole.
+
+        Who keeps a body back is not counted, and so keeps nobody out.
+        """
+        return self._open_requests - self._uploads
+
+    @contextmanager
+    def upload(self) -> Iterator[None]:
+        """Count a request as one whose body is not whole."""
+        self._uploads += 1
+        try:
+            yield
+        finally:
+            self._uploads -= 1
+
     def request_started(self) -> None:
         """Count a request that has started."""
         self._open_requests += 1
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/forwarding/server.py
@@ -66,7 +66,6 @@
         self._probes = self._probe_listeners()
         self._active_handlers: set[web.RequestHandler] = set()
         self._stop_limits: set[asyncio.Timeout] = set()
-        self._uploads = 0  # requests whose body is not whole
         drain_s = grace_s - BALANCER_DELAY_S - CLOSE_S - EXIT_S
         self.drainer = RequestDrainer(BALANCER_DELAY_S, max(0.0, drain_s), QUIET_S)
 
@@ -239,16 +238,14 @@
 
         One that is not whole at the end of a planned stop is refused.
         """
-        self._uploads += 1
         try:
-            async with self._until_stopped() as limit:
-                return await read_upload(request, max_bytes, BODY_TIMEOUT_S, upload)
+            with self.drainer.upload():
+                async with self._until_stopped() as limit:
+                    return await read_upload(request, max_bytes, BODY_TIMEOUT_S, upload)
         except TimeoutError:
             if not limit.expired():
                 raise
             return Err(refuse("stopping"))
-        finally:
-            self._uploads -= 1
 
     @asynccontextmanager
     async def _until_stopped(self) -> AsyncIterator[asyncio.Timeout]:
@@ -311,13 +308,10 @@
         return None
 
     def _check_open(self) -> Refusal | None:
-        """Return the refusal of a request that is one too many, or comes too late.
-
-        A request counts once it is whole: who keeps its body back keeps nobody out.
-        """
+        """Return the refusal of a request that is one too many, or comes too late."""
         if self.drainer.state is ServingState.CLOSED:
             return refuse("stopping")
-        if self.drainer.open_requests - self._uploads > self._section.max_requests:
+        if self.drainer.whole_requests > self._section.max_requests:
             return refuse("overloaded")
         return None
 
--- a/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
+++ b/packages/ebonyglade-entry/src/ebonyglade_entry/server.py
@@ -40,7 +40,6 @@
         self._handler = handler
         self._listener: CallerListener | None = None
         self._buffers = BufferBudget(section.buffered_bytes)
-        self._uploads = 0  # requests whose body is not whole
         self.drainer = RequestDrainer(section.leave_s, section.drain_s)
 
     @property
@@ -168,24 +167,17 @@
         return next((refuse(code) for failed, code in checks if failed), None)
 
     def _is_full(self) -> bool:
-        """Return whether too many requests are under way.
-
-        A request counts once it is whole: who keeps its body back keeps nobody out.
-        """
-        active = self.drainer.open_requests - self._uploads
-        return active > self._section.max_requests
+        """Return whether too many requests are under way."""
+        return self.drainer.whole_requests > self._section.max_requests
 
     async def _read_body(
         self, request: web.Request, upload: BufferLease
     ) -> Result[bytearray, Refusal]:
         section = self._section
-        self._uploads += 1
-        try:
+        with self.drainer.upload():
             body = await read_upload(
                 request, section.max_body_bytes, section.body_timeout_s, upload
             )
-        finally:
-            self._uploads -= 1
         return Err(refuse("overloaded")) if self._is_full() else body
 
     def _new_call(
--- a/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
+++ b/packages/ebonyglade-node/src/ebonyglade_node/callers/connection.py
@@ -43,7 +43,7 @@
         self._table = policy.table
         self._connection = CallerConnection(self._close_for_others)
         self._lease = BufferLease(policy.buffers)
-        self._last_body: StreamReader | None = None
+        self._last_body: StreamReader = EMPTY_PAYLOAD
         # What has arrived since the last content or the end of the last head.
         self._field_bytes = 0
         self._field_lines = 0
@@ -69,7 +69,7 @@
         self._stop_head_timer()
         super().connection_lost(exc)
         self._messages.clear()
-        if self._last_body not in (None, EMPTY_PAYLOAD):
+        if self._last_body is not EMPTY_PAYLOAD:
             self._last_body._buffer.clear()
         self._lease.release()
 
@@ -137,7 +137,7 @@
         """
         if heads:
             self._last_body = self._messages[-1][1]
-        body_missing = self._last_body is not None and not self._last_body.is_eof()
+        body_missing = not self._last_body.is_eof()
         was_missing = self._connection.progress is Progress.BODY_MISSING
         self._count_fields(data, heads, was_missing and not body_missing)
         if body_missing:
@@ -160,7 +160,7 @@
 
         They are not told from the framing of chunks, which content follows.
         """
-        content = self._last_body.total_bytes if self._last_body is not None else 0
+        content = self._last_body.total_bytes
         if heads or ends_body or content != self._content_bytes:
             self._field_bytes = self._field_lines = 0
         else:
