Simplify the tests with crowds

Cause: a crowd that no test used, a door read out of the test's id, the crowds of connections written in both modules, and the limit of descriptors read twice.

Change: the unused crowd (bodies whose stated length is far over the limit) is gone, doors are parameters, the crowds of connections are shared.

--- a/tests/crowds/test_crowds_at_an_entry.py
+++ b/tests/crowds/test_crowds_at_an_entry.py
@@ -12,6 +12,7 @@
 from ebonyglade.completeness import Framing
 from helpers.crowded_entry import crowded_entry
 from helpers.crowds import (
+    CONNECTIONS,
     DESCRIPTORS,
     FREE_DESCRIPTORS,
     Crowd,
@@ -22,10 +23,8 @@
     chunks,
     crowd_at,
     each,
-    half_head,
     head_without_end,
     heads_after_a_waiting_request,
-    nothing,
     trailers_without_end,
     unread_answers,
     unread_stream,
@@ -62,7 +61,6 @@
     "head": Crowd(40, head_without_end()),
     "trailers": Crowd(40, trailers_without_end()),
 }
-CONNECTIONS = {"half heads": Crowd(400, half_head), "nothing": Crowd(400, nothing)}
 STOPPED_BESIDE = {
     "bodies": BODIES["whole but a byte"],
     "answers": UNREAD["answers of the limit"],
@@ -104,12 +102,11 @@
         await check(entry, entry.callers, crowd, Target("/tell/x"))
 
 
-@each(DOORS)
+@pytest.mark.parametrize("door", DOORS)
 @pytest.mark.parametrize("crowd", LONG.values(), ids=LONG.keys())
-async def test_fields_without_end(tmp_path, crowd, case, request):
+async def test_fields_without_end(tmp_path, crowd, door):
     async with crowded_entry(tmp_path) as entry:
-        door = request.node.callspec.id.rpartition("-")[2]
-        await check(entry, getattr(entry, door), crowd, case)
+        await check(entry, getattr(entry, door), crowd, DOORS[door])
 
 
 # Each of them counted as an active request, so that ordinary ones were refused.
@@ -120,12 +117,11 @@
         await check(entry, entry.callers, crowd, case)
 
 
-@each(DOORS)
+@pytest.mark.parametrize("door", DOORS)
 @pytest.mark.parametrize("crowd", CONNECTIONS.values(), ids=CONNECTIONS.keys())
-async def test_connections_leave_descriptors_free(tmp_path, crowd, case, request):
+async def test_connections_leave_descriptors_free(tmp_path, crowd, door):
     async with crowded_entry(tmp_path, open_files=DESCRIPTORS) as entry:
-        door = request.node.callspec.id.rpartition("-")[2]
-        await check(entry, getattr(entry, door), crowd, case)
+        await check(entry, getattr(entry, door), crowd, DOORS[door])
         assert entry.watch.most_descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
 
 
--- a/tests/crowds/test_crowds_at_the_own_interface.py
+++ b/tests/crowds/test_crowds_at_the_own_interface.py
@@ -8,6 +8,7 @@
 
 from helpers.crowded_fleet import AUTHORIZATION, crowded_fleet_entry
 from helpers.crowds import (
+    CONNECTIONS,
     DESCRIPTORS,
     FREE_DESCRIPTORS,
     Crowd,
@@ -16,9 +17,7 @@
     check,
     chunks,
     each,
-    half_head,
     head_without_end,
-    nothing,
     trailers_without_end,
 )
 
@@ -40,7 +39,6 @@
     "head": Crowd(200, head_without_end(size=8000)),
     "trailers": Crowd(200, trailers_without_end(size=8000)),
 }
-CONNECTIONS = {"half heads": Crowd(400, half_head), "nothing": Crowd(400, nothing)}
 DOORS = {"callers": Target("/readyz", key=""), "status": Target("/healthz", key="")}
 
 
@@ -51,12 +49,11 @@
         await check(entry, entry.callers, crowd, case)
 
 
-@each(DOORS)
+@pytest.mark.parametrize("door", DOORS)
 @pytest.mark.parametrize("crowd", LONG.values(), ids=LONG.keys())
-async def test_fields_without_end(tmp_path, crowd, case, request):
+async def test_fields_without_end(tmp_path, crowd, door):
     with crowded_fleet_entry(tmp_path) as entry:
-        door = request.node.callspec.id.rpartition("-")[2]
-        await check(entry, getattr(entry, door), crowd, case)
+        await check(entry, getattr(entry, door), crowd, DOORS[door])
 
 
 # Each of them counted as an active request, so that ordinary ones were refused.
@@ -67,10 +64,9 @@
         await check(entry, entry.callers, crowd, case)
 
 
-@each(DOORS)
+@pytest.mark.parametrize("door", DOORS)
 @pytest.mark.parametrize("crowd", CONNECTIONS.values(), ids=CONNECTIONS.keys())
-async def test_connections_leave_descriptors_free(tmp_path, crowd, case, request):
+async def test_connections_leave_descriptors_free(tmp_path, crowd, door):
     with crowded_fleet_entry(tmp_path, open_files=DESCRIPTORS) as entry:
-        door = request.node.callspec.id.rpartition("-")[2]
-        await check(entry, getattr(entry, door), crowd, case)
+        await check(entry, getattr(entry, door), crowd, DOORS[door])
         assert entry.watch.most_descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
--- a/tests/helpers/crowded_entry.py
+++ b/tests/helpers/crowded_entry.py
@@ -1,6 +1,5 @@
 """A forwarding entry as a process of its own, for crowds of callers."""
 
-import resource
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
@@ -44,12 +43,10 @@
 
     async def serves(self):
         """Return whether ordinary requests are answered at all three addresses."""
-        ready = Target("/ready")
-        metrics = Target("/metrics")
         asked = [
             (self.callers, Target("/read/x")),
-            (self.ready, ready),
-            (self.metrics, metrics),
+            (self.ready, Target("/ready")),
+            (self.metrics, Target("/metrics")),
         ]
         statuses = [
             await answer_status(
@@ -100,8 +97,7 @@
         nodes = await stack.enter_async_context(node_processes(store, folder))
         metrics_port = free_port()
         nodes.write_settings(ENTRY, (), listen=listen | {"metrics_port": metrics_port})
-        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        with descriptors(open_files or soft):
+        with descriptors(open_files):
             await nodes.start(ENTRY)
         await nodes.until_ready(ENTRY)
         ip, process = ip_of(ENTRY), nodes.running[ENTRY]
--- a/tests/helpers/crowded_fleet.py
+++ b/tests/helpers/crowded_fleet.py
@@ -1,6 +1,5 @@
 """An entry of the own interface as a process of its own, for crowds of callers."""
 
-import resource
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -49,9 +48,8 @@
 def crowded_fleet_entry(folder, open_files=None, **http):
     """Yield an entry that runs; `http` are settings of its section of that name."""
     processes = prepare_processes(folder, SIZE, {"http": http})
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     try:
-        with descriptors(open_files or soft):
+        with descriptors(open_files):
             processes.start_all()
         entry = processes.plan.of_role("entry")[0]
         yield CrowdedFleetEntry(
--- a/tests/helpers/crowds.py
+++ b/tests/helpers/crowds.py
@@ -88,12 +88,6 @@
     return script
 
 
-def body_over_the_limit(target):
-    yield target.head(f"Content-Length: {100 * BODY_BYTES}")
-    for _ in range(4):
-        yield _FILL
-
-
 def unread_answers(size, number):
     """Return a script of whole requests whose answers nobody reads."""
 
@@ -129,6 +123,10 @@
     return ()
 
 
+# Callers that only take connections, by what they send.
+CONNECTIONS = {"half heads": Crowd(400, half_head), "nothing": Crowd(400, nothing)}
+
+
 def head_without_end(fields=120, size=60_000):
     """Return a script of a head whose fields go on."""
 
@@ -249,9 +247,12 @@
 
 @contextmanager
 def descriptors(limit):
-    """Let processes that are started within this open so many descriptors."""
+    """Let processes that are started within this open so many descriptors.
+
+    None leaves the limit as it is.
+    """
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit or soft, hard))
     try:
         yield
     finally:
